Add build, design, wire protocol, settings, logs and platform ports

Cause: the modules need a shared base before they are built side by side. Change: Maven modules, the design page, MessagePack frames over Jetty I/O, checked TOML settings, numbered JSON log events, clients of the key-value store and host list, the configuration model.

--- /dev/null
+++ b/core/src/main/java/org/oriolewell/core/config/package-info.java
@@ -0,0 +1,5 @@
+/** The configuration that operators accept: its model, validation, changes and distribution. */
+@NullMarked
+package org.oriolewell.core.config;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/ctl/src/main/java/org/oriolewell/ctl/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' program. */
+@NullMarked
+package org.oriolewell.ctl;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/entry/src/main/java/org/oriolewell/entry/package-info.java
@@ -0,0 +1,5 @@
+/** The entry: takes callers' requests, runs their pipelines and answers them. */
+@NullMarked
+package org.oriolewell.entry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/runtime/src/main/java/org/oriolewell/runtime/log/RuntimeEvent.java
@@ -0,0 +1,49 @@
+package org.oriolewell.runtime.log;
+
+import java.util.logging.Level;
+
+/** Log events of the runtime module, which all programs share. */
+public enum RuntimeEvent implements LogEvent {
+  LISTENING(1001, Level.INFO, "A port is bound; the field address names it."),
+  STARTED(1002, Level.INFO, "The program has started."),
+  STOPPING(1003, Level.INFO, "A planned stop has begun; work in flight is finished first."),
+  STOPPED(1004, Level.INFO, "The program has stopped."),
+  CONNECTION_OPENED(1010, Level.FINE, "A connection between processes was opened."),
+  CONNECTION_CLOSED(1011, Level.FINE, "A connection between processes was closed."),
+  CONNECTION_PROTOCOL_ERROR(
+      1012,
+      Level.WARNING,
+      "A peer sent a malformed or oversized frame; its connection was closed. Check its version."),
+  STORE_UNAVAILABLE(
+      1020,
+      Level.WARNING,
+      "The key-value service did not answer; the process goes on with what it knows."),
+  HOST_LIST_UNAVAILABLE(
+      1021, Level.WARNING, "The host list did not answer; the last known list stays in use."),
+  HANDLER_FAILED(1030, Level.SEVERE, "An HTTP handler failed; report it as a defect.");
+
+  private final int number;
+  private final Level level;
+  private final String meaning;
+
+  RuntimeEvent(int number, Level level, String meaning) {
+    this.number = number;
+    this.level = level;
+    this.meaning = meaning;
+  }
+
+  @Override
+  public int number() {
+    return number;
+  }
+
+  @Override
+  public Level level() {
+    return level;
+  }
+
+  @Override
+  public String meaning() {
+    return meaning;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/oriolewell/runtime/program/Program.java
@@ -0,0 +1,136 @@
+package org.oriolewell.runtime.program;
+
+import java.io.File;
+import java.io.PrintStream;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import org.jspecify.annotations.Nullable;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.ParserProperties;
+import org.oriolewell.runtime.log.LogOutput;
+import org.oriolewell.runtime.settings.Settings;
+import org.oriolewell.runtime.settings.SettingsException;
+import org.oriolewell.runtime.settings.SettingsSpec;
+
+/**
+ * Command line and life cycle of a program that runs until it is stopped.
+ *
+ * <p>Example: {@code Program.of("oriolewell-entry", EntrySettings.SPEC, Entry::start).main(args)}.
+ */
+public final class Program {
+  /** Starts the program's work. */
+  @FunctionalInterface
+  public interface Starter {
+    /** Returns the running work; closing it is a planned stop that finishes what is in flight. */
+    AutoCloseable start(Settings settings) throws Exception;
+  }
+
+  private final String name;
+  private final SettingsSpec spec;
+  private final Starter starter;
+
+  private Program(String name, SettingsSpec spec, Starter starter) {
+    this.name = name;
+    this.spec = spec;
+    this.starter = starter;
+  }
+
+  /** Returns a program. */
+  public static Program of(String name, SettingsSpec spec, Starter starter) {
+    return new Program(name, spec, starter);
+  }
+
+  /** Runs the program and ends the process with one of {@link ExitCode}'s codes. */
+  public void main(String[] args) {
+    int code = run(args, System.out, System.err);
+    System.exit(code);
+  }
+
+  /** Runs the program until it is stopped and returns its exit code. */
+  int run(String[] args, PrintStream out, PrintStream err) {
+    Options options = new Options();
+    CmdLineParser parser =
+        new CmdLineParser(options, ParserProperties.defaults().withUsageWidth(100));
+    try {
+      parser.parseArgument(args);
+    } catch (CmdLineException e) {
+      err.println(name + ": " + e.getMessage() + "; see " + name + " --help.");
+      return ExitCode.USAGE;
+    }
+    if (options.help) {
+      out.println("Usage: " + name + " [options]");
+      parser.printUsage(out);
+      return ExitCode.OK;
+    }
+    if (options.version) {
+      out.println(name + " " + Version.current());
+      return ExitCode.OK;
+    }
+    if (options.printDefaults) {
+      out.print(spec.printDefaults());
+      return ExitCode.OK;
+    }
+    Settings settings;
+    try {
+      File file = options.settings;
+      settings = file == null ? spec.defaults() : spec.load(file.toPath());
+    } catch (SettingsException e) {
+      e.problems().forEach(err::println);
+      return ExitCode.SETTINGS;
+    }
+    if (options.check) {
+      out.println("The settings are valid.");
+      return ExitCode.OK;
+    }
+    return serve(settings, options, err);
+  }
+
+  private int serve(Settings settings, Options options, PrintStream err) {
+    LogOutput.install(options.debug ? Level.FINE : Level.INFO);
+    CountDownLatch stopped = new CountDownLatch(1);
+    try {
+      AutoCloseable work = starter.start(settings);
+      Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(work, err), "stop"));
+      stopped.await();
+    } catch (Exception e) {
+      err.println(name + ": cannot start: " + e.getMessage());
+      return ExitCode.FAILED;
+    }
+    return ExitCode.OK;
+  }
+
+  private static void stop(AutoCloseable work, PrintStream err) {
+    try {
+      work.close();
+    } catch (Exception e) {
+      err.println("the stop failed: " + e);
+    }
+  }
+
+  /** Options that all programs accept. */
+  static final class Options {
+    @Option(name = "--settings", metaVar = "FILE", usage = "TOML file with the settings")
+    @Nullable File settings;
+
+    @Option(name = "--check", usage = "check the settings and exit")
+    boolean check;
+
+    @Option(name = "--print-defaults", usage = "print all settings with their defaults and exit")
+    boolean printDefaults;
+
+    @Option(name = "--debug", usage = "log connections and other details")
+    boolean debug;
+
+    @Option(name = "--version", usage = "print the version and exit")
+    boolean version;
+
+    @Option(
+        name = "--help",
+        aliases = {"-h"},
+        help = true,
+        usage = "print this help and exit")
+    boolean help;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/oriolewell/runtime/wire/MessageCodec.java
@@ -0,0 +1,295 @@
+package org.oriolewell.runtime.wire;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+import org.oriolewell.runtime.wire.Message.Load;
+import org.oriolewell.runtime.wire.Message.Outcome;
+import org.oriolewell.runtime.wire.Message.RefusalKind;
+
+/**
+ * Writes and reads messages as MessagePack arrays whose first element is the type number. Fields
+ * follow in the order of the record's components. Elements after the known ones are ignored, so
+ * that a later minor version may append fields.
+ */
+final class MessageCodec {
+  private static final int HELLO = 1;
+  private static final int CALL = 2;
+  private static final int START = 3;
+  private static final int GRANT = 4;
+  private static final int DENY = 5;
+  private static final int TOKENS = 6;
+  private static final int CREDIT = 7;
+  private static final int RESULT = 8;
+  private static final int REFUSED = 9;
+  private static final int CANCEL = 10;
+  private static final int PING = 11;
+  private static final int PONG = 12;
+  private static final int CONFIG_REQUEST = 13;
+  private static final int CONFIG_DELTA = 14;
+  private static final int CONFIG_SNAPSHOT = 15;
+  private static final int SETTLE = 16;
+  private static final int SETTLED = 17;
+  private static final int QUERY = 18;
+  private static final int QUERY_RESULT = 19;
+
+  private MessageCodec() {}
+
+  /** Returns a message as bytes, without the length that precedes it in a frame. */
+  static byte[] encode(Message message) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      write(packer, message);
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("a memory buffer failed", e);
+    }
+  }
+
+  /**
+   * Reads a message.
+   *
+   * @throws WireException if the bytes aren't a message of this protocol
+   */
+  static Message decode(byte[] bytes) throws WireException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      unpacker.unpackArrayHeader();
+      return read(unpacker);
+    } catch (WireException e) {
+      throw e;
+    } catch (IOException | RuntimeException e) {
+      throw new WireException("a frame of " + bytes.length + " bytes is malformed: " + e, e);
+    }
+  }
+
+  private static void write(MessageBufferPacker out, Message message) throws IOException {
+    if (message instanceof Message.Hello m) {
+      header(out, 10, HELLO).packInt(m.version()).packString(m.process()).packString(m.role());
+      out.packString(m.pool()).packString(m.zone()).packString(m.region());
+      out.packLong(m.configVersion());
+      writeShards(out, m.shards());
+      writeLoad(out, m.load());
+    } else if (message instanceof Message.Call m) {
+      writeCall(out, m);
+    } else if (message instanceof Message.Start m) {
+      header(out, 3, START).packLong(m.stream()).packLong(m.epoch());
+    } else if (message instanceof Message.Grant m) {
+      header(out, 2, GRANT).packLong(m.stream());
+    } else if (message instanceof Message.Deny m) {
+      header(out, 2, DENY).packLong(m.stream());
+    } else if (message instanceof Message.Tokens m) {
+      header(out, 4, TOKENS).packLong(m.stream()).packLong(m.position());
+      out.packArrayHeader(m.items().size());
+      for (String item : m.items()) {
+        out.packString(item);
+      }
+    } else if (message instanceof Message.Credit m) {
+      header(out, 3, CREDIT).packLong(m.stream()).packInt(m.frames());
+    } else if (message instanceof Message.Result m) {
+      header(out, 5, RESULT).packLong(m.stream());
+      writeBytes(out, m.payload());
+      out.packLong(m.count());
+      writeLoad(out, m.load());
+    } else if (message instanceof Message.Refused m) {
+      header(out, 7, REFUSED).packLong(m.stream()).packInt(m.kind().ordinal());
+      out.packInt(m.outcome().ordinal()).packString(m.detail()).packLong(m.retryAfterMillis());
+      writeLoad(out, m.load());
+    } else if (message instanceof Message.Cancel m) {
+      header(out, 2, CANCEL).packLong(m.stream());
+    } else {
+      writeControl(out, message);
+    }
+  }
+
+  private static void writeControl(MessageBufferPacker out, Message message) throws IOException {
+    if (message instanceof Message.Ping m) {
+      header(out, 4, PING).packLong(m.sequence()).packLong(m.configVersion());
+      writeLoad(out, m.load());
+    } else if (message instanceof Message.Pong m) {
+      header(out, 5, PONG).packLong(m.sequence()).packLong(m.configVersion());
+      writeLoad(out, m.load());
+      writeShards(out, m.shards());
+    } else if (message instanceof Message.ConfigRequest m) {
+      header(out, 2, CONFIG_REQUEST).packLong(m.fromVersion());
+    } else if (message instanceof Message.ConfigDelta m) {
+      header(out, 4, CONFIG_DELTA).packLong(m.fromVersion()).packLong(m.toVersion());
+      writeBytes(out, m.changes());
+    } else if (message instanceof Message.ConfigSnapshot m) {
+      header(out, 3, CONFIG_SNAPSHOT).packLong(m.version());
+      writeBytes(out, m.document());
+    } else if (message instanceof Message.Settle m) {
+      header(out, 7, SETTLE).packLong(m.id()).packString(m.workspace()).packString(m.pipeline());
+      out.packInt(m.stage()).packString(m.operation()).packString(m.key());
+    } else if (message instanceof Message.Settled m) {
+      header(out, 5, SETTLED).packLong(m.id()).packInt(m.outcome().ordinal());
+      out.packString(m.detail());
+      writeBytes(out, m.payload());
+    } else if (message instanceof Message.Query m) {
+      header(out, 3, QUERY).packLong(m.id());
+      writeBytes(out, m.question());
+    } else if (message instanceof Message.QueryResult m) {
+      header(out, 3, QUERY_RESULT).packLong(m.id());
+      writeBytes(out, m.answer());
+    }
+  }
+
+  private static void writeCall(MessageBufferPacker out, Message.Call m) throws IOException {
+    header(out, 18, CALL).packLong(m.stream()).packString(m.requestId()).packInt(m.stage());
+    out.packInt(m.attempt()).packString(m.workspace()).packString(m.firm());
+    out.packString(m.pipeline()).packInt(m.priority()).packLong(m.remainingMillis());
+    out.packString(m.operation()).packBoolean(m.idempotent());
+    String key = m.key();
+    if (key == null) {
+      out.packNil();
+    } else {
+      out.packString(key);
+    }
+    out.packLong(m.fingerprint()).packLong(m.resumeFrom()).packInt(m.credits());
+    out.packBoolean(m.streaming());
+    writeBytes(out, m.payload());
+  }
+
+  private static MessageBufferPacker header(MessageBufferPacker out, int elements, int type)
+      throws IOException {
+    out.packArrayHeader(elements).packInt(type);
+    return out;
+  }
+
+  private static void writeBytes(MessageBufferPacker out, byte[] bytes) throws IOException {
+    out.packBinaryHeader(bytes.length).writePayload(bytes);
+  }
+
+  private static void writeLoad(MessageBufferPacker out, Load load) throws IOException {
+    out.packArrayHeader(5).packInt(load.inFlight()).packInt(load.queued()).packInt(load.limit());
+    out.packLong(load.queueDelayMicros()).packBoolean(load.draining());
+  }
+
+  private static void writeShards(MessageBufferPacker out, Map<String, Long> shards)
+      throws IOException {
+    out.packMapHeader(shards.size());
+    for (Map.Entry<String, Long> shard : shards.entrySet()) {
+      out.packString(shard.getKey()).packLong(shard.getValue());
+    }
+  }
+
+  private static Message read(MessageUnpacker in) throws IOException {
+    int type = in.unpackInt();
+    return switch (type) {
+      case HELLO ->
+          new Message.Hello(
+              in.unpackInt(),
+              in.unpackString(),
+              in.unpackString(),
+              in.unpackString(),
+              in.unpackString(),
+              in.unpackString(),
+              in.unpackLong(),
+              readShards(in),
+              readLoad(in));
+      case CALL -> readCall(in);
+      case START -> new Message.Start(in.unpackLong(), in.unpackLong());
+      case GRANT -> new Message.Grant(in.unpackLong());
+      case DENY -> new Message.Deny(in.unpackLong());
+      case TOKENS -> new Message.Tokens(in.unpackLong(), in.unpackLong(), readStrings(in));
+      case CREDIT -> new Message.Credit(in.unpackLong(), in.unpackInt());
+      case RESULT ->
+          new Message.Result(in.unpackLong(), readBytes(in), in.unpackLong(), readLoad(in));
+      case REFUSED ->
+          new Message.Refused(
+              in.unpackLong(),
+              constant(RefusalKind.values(), in.unpackInt()),
+              constant(Outcome.values(), in.unpackInt()),
+              in.unpackString(),
+              in.unpackLong(),
+              readLoad(in));
+      case CANCEL -> new Message.Cancel(in.unpackLong());
+      case PING -> new Message.Ping(in.unpackLong(), in.unpackLong(), readLoad(in));
+      case PONG -> new Message.Pong(in.unpackLong(), in.unpackLong(), readLoad(in), readShards(in));
+      case CONFIG_REQUEST -> new Message.ConfigRequest(in.unpackLong());
+      case CONFIG_DELTA -> new Message.ConfigDelta(in.unpackLong(), in.unpackLong(), readBytes(in));
+      case CONFIG_SNAPSHOT -> new Message.ConfigSnapshot(in.unpackLong(), readBytes(in));
+      case SETTLE ->
+          new Message.Settle(
+              in.unpackLong(),
+              in.unpackString(),
+              in.unpackString(),
+              in.unpackInt(),
+              in.unpackString(),
+              in.unpackString());
+      case SETTLED ->
+          new Message.Settled(
+              in.unpackLong(),
+              constant(Outcome.values(), in.unpackInt()),
+              in.unpackString(),
+              readBytes(in));
+      case QUERY -> new Message.Query(in.unpackLong(), readBytes(in));
+      case QUERY_RESULT -> new Message.QueryResult(in.unpackLong(), readBytes(in));
+      default -> throw new WireException("message type " + type + " is unknown");
+    };
+  }
+
+  private static Message.Call readCall(MessageUnpacker in) throws IOException {
+    return new Message.Call(
+        in.unpackLong(),
+        in.unpackString(),
+        in.unpackInt(),
+        in.unpackInt(),
+        in.unpackString(),
+        in.unpackString(),
+        in.unpackString(),
+        in.unpackInt(),
+        in.unpackLong(),
+        in.unpackString(),
+        in.unpackBoolean(),
+        readNullableString(in),
+        in.unpackLong(),
+        in.unpackLong(),
+        in.unpackInt(),
+        in.unpackBoolean(),
+        readBytes(in));
+  }
+
+  private static @Nullable String readNullableString(MessageUnpacker in) throws IOException {
+    return in.tryUnpackNil() ? null : in.unpackString();
+  }
+
+  private static byte[] readBytes(MessageUnpacker in) throws IOException {
+    return in.readPayload(in.unpackBinaryHeader());
+  }
+
+  private static Load readLoad(MessageUnpacker in) throws IOException {
+    in.unpackArrayHeader();
+    return new Load(
+        in.unpackInt(), in.unpackInt(), in.unpackInt(), in.unpackLong(), in.unpackBoolean());
+  }
+
+  private static List<String> readStrings(MessageUnpacker in) throws IOException {
+    int size = in.unpackArrayHeader();
+    List<String> items = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      items.add(in.unpackString());
+    }
+    return List.copyOf(items);
+  }
+
+  private static Map<String, Long> readShards(MessageUnpacker in) throws IOException {
+    int size = in.unpackMapHeader();
+    Map<String, Long> shards = new HashMap<>();
+    for (int i = 0; i < size; i++) {
+      shards.put(in.unpackString(), in.unpackLong());
+    }
+    return Map.copyOf(shards);
+  }
+
+  private static <E> E constant(E[] values, int ordinal) throws WireException {
+    if (ordinal < 0 || ordinal >= values.length) {
+      throw new WireException("enum number " + ordinal + " is unknown");
+    }
+    return values[ordinal];
+  }
+}
