Add the entry program with whole answers and token streams

Cause: callers need one place that owns a request and its deadline. Change: core.result.RequestMachine decides attempts, grants and the single end of a request; the entry serves POST /v1/requests and stream resume, dials agents with heartbeats and jittered redial, polls the host list and the stored configuration, and has the operators' port. HttpCall can start a stream with further headers, for Request-Id. Measured: nothing yet; one test runs an idempotent pipeline against a fake agent.

--- /dev/null
+++ b/core/src/main/java/org/oriolewell/core/result/Refusal.java
@@ -0,0 +1,63 @@
+package org.oriolewell.core.result;
+
+/**
+ * An agent's refusal of a call.
+ *
+ * @param kind why the agent refused
+ * @param outcome what the agent knows about whether the call ran
+ * @param detail what happened; names the owner for {@link Kind#NOT_OWNER}
+ * @param retryAfterMillis time after which a retry may succeed, in milliseconds; 0 if not known
+ */
+public record Refusal(Kind kind, Outcome outcome, String detail, long retryAfterMillis) {
+  /** Why an agent refused, as in the agent protocol. */
+  public enum Kind {
+    /** The agent's queue is full or the workspace's share is used up. */
+    OVERLOADED(ProblemKind.OVERLOADED),
+    /** The call can't finish in its remaining time. */
+    DEADLINE_UNREACHABLE(ProblemKind.DEADLINE_UNREACHABLE),
+    /** The remaining time ran out. */
+    DEADLINE_EXCEEDED(ProblemKind.DEADLINE_EXCEEDED),
+    /** The agent is draining. */
+    STOPPING(ProblemKind.NO_UPSTREAM),
+    /** Another agent owns the shard of the call's key. */
+    NOT_OWNER(ProblemKind.NO_UPSTREAM),
+    /** The same key was used with another body. */
+    KEY_CONFLICT(ProblemKind.KEY_CONFLICT),
+    /** The key's time is too old or too far in the future. */
+    KEY_TIME(ProblemKind.KEY_TIME),
+    /** The execution window can't be extended since the store doesn't answer. */
+    STORE_UNAVAILABLE(ProblemKind.NO_UPSTREAM),
+    /** The upstream failed or refused. */
+    UPSTREAM_FAILED(ProblemKind.UPSTREAM_FAILED),
+    /** It isn't known whether the call ran. */
+    OUTCOME_UNKNOWN(ProblemKind.OUTCOME_UNKNOWN),
+    /** The call was denied or canceled. */
+    CANCELED(ProblemKind.UPSTREAM_FAILED),
+    /** The call is malformed or names an unknown operation. */
+    INVALID(ProblemKind.UPSTREAM_FAILED);
+
+    private final ProblemKind problem;
+
+    Kind(ProblemKind problem) {
+      this.problem = problem;
+    }
+
+    /** Returns the kind under which a caller sees this refusal. */
+    public ProblemKind problem() {
+      return problem;
+    }
+
+    /** Returns whether a retry at another agent is free, since the refusing one did no work. */
+    boolean isRedirect() {
+      return this == STOPPING || this == NOT_OWNER || this == STORE_UNAVAILABLE;
+    }
+
+    /** Returns whether no other attempt can succeed. */
+    boolean isFinal() {
+      return this == KEY_CONFLICT
+          || this == KEY_TIME
+          || this == DEADLINE_EXCEEDED
+          || this == INVALID;
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/oriolewell/entry/Entry.java
@@ -0,0 +1,320 @@
+package org.oriolewell.entry;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.UUID;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.HttpClient;
+import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.config.ConfigDocument;
+import org.oriolewell.core.result.RequestPlan;
+import org.oriolewell.runtime.http.JsonServer;
+import org.oriolewell.runtime.http.OperatorsPort;
+import org.oriolewell.runtime.log.EventLog;
+import org.oriolewell.runtime.log.RuntimeEvent;
+import org.oriolewell.runtime.platform.HttpHostList;
+import org.oriolewell.runtime.platform.HttpKeyValueStore;
+import org.oriolewell.runtime.settings.Setting;
+import org.oriolewell.runtime.settings.Settings;
+import org.oriolewell.runtime.wire.Message;
+import org.oriolewell.runtime.wire.WireClient;
+
+/** A running entry with its ports, links and timers. Closing it is a planned stop. */
+final class Entry implements AutoCloseable {
+  private static final int OPERATORS_BODY_LIMIT = 1 << 20;
+
+  private final Settings settings;
+  private final EventLog log = EventLog.of("entry", InstantSource.system());
+  private final InstantSource clock = new SteadyClock();
+  private final Random random = new Random();
+  private final ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(2);
+  private final HttpClient http = new HttpClient();
+  private final String process;
+  private final EntryMetrics metrics = new EntryMetrics(new PrometheusRegistry());
+  private final WireClient wire;
+  private final AgentDirectory agents;
+  private final ConfigSource config;
+  private final CallersApi api;
+  private final JsonServer callers;
+  private final JsonServer operators;
+  private volatile boolean stopping;
+
+  private Entry(Settings settings, Consumer<JsonServer> adminRoutes) throws Exception {
+    this.settings = settings;
+    process = value(EntrySettings.NAME) + "-" + UUID.randomUUID().toString().substring(0, 8);
+    timers.setRemoveOnCancelPolicy(true);
+    http.start();
+    wire =
+        WireClient.start(
+            value(EntrySettings.CONNECT_TIMEOUT), value(EntrySettings.FRAME_LIMIT), null);
+    config = configSource();
+    agents = directory();
+    api = callersApi();
+    callers =
+        api.addTo(
+            JsonServer.of(
+                address(EntrySettings.CALLERS_ADDRESS, EntrySettings.CALLERS_PORT),
+                value(EntrySettings.BODY_LIMIT),
+                log));
+    operators =
+        OperatorsPort.addRoutes(
+            JsonServer.of(
+                address(EntrySettings.OPERATORS_ADDRESS, EntrySettings.OPERATORS_PORT),
+                OPERATORS_BODY_LIMIT,
+                log),
+            metrics.registry(),
+            this::ready,
+            this::status);
+    adminRoutes.accept(operators);
+    metrics.gauge("requests_in_flight", "Requests that aren't fully answered.", api::inFlight);
+    metrics.gauge("agents_connected", "Agents that are connected.", this::connected);
+  }
+
+  /**
+   * Starts an entry.
+   *
+   * @param adminRoutes adds further routes to the operators' port before it starts
+   */
+  static Entry start(Settings settings, Consumer<JsonServer> adminRoutes) throws Exception {
+    Entry entry = new Entry(settings, adminRoutes);
+    entry.startHeartbeats();
+    entry.startHostList();
+    entry.operators.start("operators");
+    entry.callers.start("callers");
+    entry.log.event(RuntimeEvent.STARTED).with("process", entry.process).write();
+    return entry;
+  }
+
+  private <T> T value(Setting<T> setting) {
+    return settings.value(setting);
+  }
+
+  private InetSocketAddress address(Setting<String> host, Setting<Integer> port) {
+    return new InetSocketAddress(InetAddresses.forString(value(host)), value(port));
+  }
+
+  private ConfigSource configSource() {
+    String url = value(EntrySettings.STORE_URL);
+    if (url.isEmpty()) {
+      return Optional::empty;
+    }
+    StoreConfig source =
+        new StoreConfig(
+            HttpKeyValueStore.of(http, URI.create(url), value(EntrySettings.STORE_TIMEOUT)), log);
+    every(value(EntrySettings.CONFIG_POLL), source::poll);
+    return source;
+  }
+
+  private AgentDirectory directory() {
+    DirectoryRefresh refresh = new DirectoryRefresh();
+    LinkContext context =
+        new LinkContext(
+            wire,
+            this::hello,
+            this::configVersion,
+            value(EntrySettings.PING),
+            value(EntrySettings.DEAD),
+            clock,
+            random,
+            (connection, message) -> {},
+            refresh,
+            metrics,
+            log);
+    List<InetSocketAddress> fixed =
+        value(EntrySettings.AGENTS).stream().map(Entry::agentAddress).toList();
+    AgentDirectory directory =
+        new AgentDirectory(
+            value(EntrySettings.ZONE),
+            value(EntrySettings.REGION),
+            fixed,
+            address -> new AgentLink(address, context));
+    refresh.directory = directory;
+    return directory;
+  }
+
+  /** Breaks the cycle between the directory and its links. */
+  private static final class DirectoryRefresh implements Runnable {
+    private volatile @Nullable AgentDirectory directory;
+
+    @Override
+    public void run() {
+      AgentDirectory known = directory;
+      if (known != null) {
+        known.refresh();
+      }
+    }
+  }
+
+  private static InetSocketAddress agentAddress(String text) {
+    HostAndPort address = HostAndPort.fromString(text);
+    return new InetSocketAddress(InetAddresses.forString(address.getHost()), address.getPort());
+  }
+
+  private CallersApi callersApi() {
+    Router router =
+        new Router(agents, new TwoChoices(random), value(EntrySettings.LOG_SAMPLING), random, log);
+    RunContext context =
+        new RunContext(
+            router,
+            new RetryBudgets(value(EntrySettings.RETRY_RATIO), value(EntrySettings.RETRY_BURST)),
+            timers,
+            clock,
+            () -> UUID.randomUUID().toString(),
+            random,
+            new RequestPlan.Timing(
+                value(EntrySettings.FIRST_BACKOFF),
+                value(EntrySettings.MAX_BACKOFF),
+                value(EntrySettings.NO_UPSTREAM_WAIT)),
+            value(EntrySettings.STREAM_CREDITS),
+            metrics,
+            log);
+    RequestTable streams =
+        new RequestTable(
+            timers, value(EntrySettings.STREAM_KEEP), value(EntrySettings.STREAM_KEPT_TOKENS));
+    return new CallersApi(
+        config,
+        new RequestParser(value(EntrySettings.MAX_DEADLINE)),
+        context,
+        streams,
+        new CallersApi.Limits(
+            value(EntrySettings.MAX_REQUESTS), value(EntrySettings.STREAM_GRACE)));
+  }
+
+  private void startHeartbeats() {
+    Duration tick = value(EntrySettings.PING).dividedBy(4);
+    every(tick, new Heartbeats(agents::links, clock, value(EntrySettings.DEAD).dividedBy(2)));
+  }
+
+  private void startHostList() {
+    String url = value(EntrySettings.HOST_LIST_URL);
+    if (url.isEmpty()) {
+      return;
+    }
+    HostListPoller poller =
+        new HostListPoller(
+            HttpHostList.of(http, URI.create(url), value(EntrySettings.HOST_LIST_TIMEOUT)),
+            agents::propose,
+            log);
+    every(value(EntrySettings.HOST_LIST_POLL), poller::poll);
+  }
+
+  private void every(Duration period, Runnable task) {
+    Runnable guarded =
+        () -> {
+          try {
+            task.run();
+          } catch (RuntimeException e) {
+            log.event(RuntimeEvent.HANDLER_FAILED).cause(e).write();
+          }
+        };
+    timers.scheduleWithFixedDelay(guarded, 0, period.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  private Message.Hello hello() {
+    return new Message.Hello(
+        Message.PROTOCOL_VERSION,
+        process,
+        "entry",
+        "",
+        value(EntrySettings.ZONE),
+        value(EntrySettings.REGION),
+        configVersion(),
+        Map.of(),
+        Message.Load.NONE);
+  }
+
+  private long configVersion() {
+    return config.current().map(ConfigDocument::version).orElse(0L);
+  }
+
+  private boolean ready() {
+    return !stopping && config.current().isPresent();
+  }
+
+  private int connected() {
+    return (int) agents.links().stream().filter(link -> link.peer().isPresent()).count();
+  }
+
+  private Map<String, Object> status() {
+    return Map.of(
+        "process",
+        process,
+        "role",
+        "entry",
+        "zone",
+        value(EntrySettings.ZONE),
+        "region",
+        value(EntrySettings.REGION),
+        "config_version",
+        configVersion(),
+        "state",
+        stopping ? "stopping" : ready() ? "ready" : "waiting for a configuration",
+        "requests_in_flight",
+        api.inFlight(),
+        "agents",
+        agents.links().stream().map(Entry::agentStatus).toList());
+  }
+
+  private static Map<String, Object> agentStatus(AgentLink link) {
+    String address = link.address().getHostString() + ":" + link.address().getPort();
+    return link.peer()
+        .map(
+            peer ->
+                Map.<String, Object>of(
+                    "address", address,
+                    "connected", true,
+                    "process", peer.process(),
+                    "pool", peer.pool(),
+                    "zone", peer.zone(),
+                    "draining", peer.load().draining(),
+                    "in_flight", link.inFlight()))
+        .orElse(Map.of("address", address, "connected", false));
+  }
+
+  /** Returns the bound address of the callers' API. */
+  InetSocketAddress callersAddress() {
+    return callers.address();
+  }
+
+  /** Returns the bound address of the operators' port. */
+  InetSocketAddress operatorsAddress() {
+    return operators.address();
+  }
+
+  @Override
+  public void close() throws Exception {
+    stopping = true;
+    api.stop();
+    log.event(RuntimeEvent.STOPPING).with("in_flight", api.inFlight()).write();
+    awaitRequests();
+    callers.close();
+    timers.shutdownNow();
+    agents.close();
+    wire.close();
+    http.stop();
+    operators.close();
+    log.event(RuntimeEvent.STOPPED).write();
+  }
+
+  private void awaitRequests() throws InterruptedException {
+    long end = System.nanoTime() + value(EntrySettings.STOP_TIMEOUT).toNanos();
+    while (api.inFlight() > 0) {
+      if (System.nanoTime() > end) {
+        log.event(EntryEvent.STOP_TIMED_OUT).with("in_flight", api.inFlight()).write();
+        return;
+      }
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/oriolewell/entry/EntryEvent.java
@@ -0,0 +1,72 @@
+package org.oriolewell.entry;
+
+import java.util.logging.Level;
+import org.oriolewell.runtime.log.LogEvent;
+
+/** Log events of the entry. */
+enum EntryEvent implements LogEvent {
+  ROUTING_DECISION(
+      2001,
+      Level.INFO,
+      "An upstream was chosen for a call; the fields name candidates, choice and reason."),
+  REQUEST_REFUSED(
+      2002, Level.FINE, "A request was refused; the fields name kind, outcome and detail."),
+  REQUEST_UNKNOWN(
+      2003,
+      Level.WARNING,
+      "A request ended with an unknown outcome; the caller should retry with the same key."),
+  STALE_MESSAGE(
+      2004,
+      Level.FINE,
+      "A message of an agent came late, twice or for another attempt and had no effect."),
+  AGENT_CONNECTED(2010, Level.INFO, "An agent said HELLO and may receive calls."),
+  AGENT_LOST(2011, Level.WARNING, "The connection to an agent was lost; it is dialed again."),
+  AGENT_DEAD(
+      2012,
+      Level.WARNING,
+      "An agent sent no PONG for the dead time; its connection was closed. Check its host."),
+  AGENT_REFUSED(
+      2013,
+      Level.WARNING,
+      "A process answered the dial with a wrong role or protocol version. Check the host list."),
+  AGENT_MISNAMED(
+      2014,
+      Level.WARNING,
+      "The host list names another pool than the agent itself; the agent's word is used."),
+  HOST_ENTRY_IGNORED(
+      2015,
+      Level.WARNING,
+      "A host list entry is not usable, for example since its address is no IP number."),
+  CONFIG_IN_FORCE(2020, Level.INFO, "A configuration version is in force in this entry."),
+  CONFIG_REFUSED(
+      2021,
+      Level.SEVERE,
+      "The stored configuration can't be read; the last good version stays in force. Repair it."),
+  STOP_TIMED_OUT(
+      2030, Level.WARNING, "Requests were still in flight when the time for a planned stop ended.");
+
+  private final int number;
+  private final Level level;
+  private final String meaning;
+
+  EntryEvent(int number, Level level, String meaning) {
+    this.number = number;
+    this.level = level;
+    this.meaning = meaning;
+  }
+
+  @Override
+  public int number() {
+    return number;
+  }
+
+  @Override
+  public Level level() {
+    return level;
+  }
+
+  @Override
+  public String meaning() {
+    return meaning;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/oriolewell/entry/EntrySettings.java
@@ -0,0 +1,133 @@
+package org.oriolewell.entry;
+
+import java.time.Duration;
+import java.util.List;
+import org.oriolewell.runtime.settings.Setting;
+import org.oriolewell.runtime.settings.SettingsSpec;
+
+/** Settings of the entry. */
+final class EntrySettings {
+  static final Setting<String> NAME =
+      Setting.string("entry.name", "entry", "Name of this process, unique in the fleet.");
+  static final Setting<String> ZONE =
+      Setting.string("entry.zone", "", "Availability zone of this host.");
+  static final Setting<String> REGION = Setting.string("entry.region", "", "Region of this host.");
+  static final Setting<String> CALLERS_ADDRESS =
+      Setting.string("callers.address", "127.0.0.1", "Address of the callers' API.");
+  static final Setting<Integer> CALLERS_PORT =
+      Setting.integer("callers.port", 8080, 0, 65535, "TCP port of the callers' API.");
+  static final Setting<Integer> BODY_LIMIT =
+      Setting.integer(
+          "callers.body-limit-bytes", 1 << 20, 1024, 16 << 20, "Largest accepted body, in bytes.");
+  static final Setting<Integer> MAX_REQUESTS =
+      Setting.integer(
+          "callers.max-requests", 20_000, 1, 1_000_000, "Most requests in flight at one time.");
+  static final Setting<Duration> MAX_DEADLINE =
+      millis("callers.max-deadline-ms", 60_000, 1, 3_600_000, "Longest accepted deadline.");
+  static final Setting<String> OPERATORS_ADDRESS =
+      Setting.string("operators.address", "127.0.0.1", "Address of the operators' port.");
+  static final Setting<Integer> OPERATORS_PORT =
+      Setting.integer("operators.port", 8081, 0, 65535, "TCP port for operators.");
+  static final Setting<String> STORE_URL =
+      Setting.string("store.url", "", "URL of the key-value service; empty for none.");
+  static final Setting<Duration> STORE_TIMEOUT =
+      millis("store.timeout-ms", 1000, 10, 60_000, "Time after which a store call has failed.");
+  static final Setting<Duration> CONFIG_POLL =
+      millis("store.config-poll-ms", 1000, 50, 60_000, "Time between reads of the configuration.");
+  static final Setting<String> HOST_LIST_URL =
+      Setting.string("hosts.url", "", "URL of the host list; empty for none.");
+  static final Setting<Duration> HOST_LIST_POLL =
+      millis("hosts.poll-ms", 1000, 50, 60_000, "Time between reads of the host list.");
+  static final Setting<Duration> HOST_LIST_TIMEOUT =
+      millis("hosts.timeout-ms", 1000, 10, 60_000, "Time after which a host list call has failed.");
+  static final Setting<List<String>> AGENTS =
+      Setting.strings("agents.static", List.of(), "Agents as IP:PORT, besides the host list.");
+  static final Setting<Duration> PING =
+      millis("agents.ping-ms", 250, 10, 10_000, "Time between heartbeats.");
+  static final Setting<Duration> DEAD =
+      millis("agents.dead-ms", 750, 30, 60_000, "Time without PONG after which an agent is dead.");
+  static final Setting<Duration> CONNECT_TIMEOUT =
+      millis("agents.connect-timeout-ms", 500, 10, 60_000, "Longest time to open a connection.");
+  static final Setting<Integer> FRAME_LIMIT =
+      Setting.integer(
+          "agents.frame-limit-bytes", 1 << 20, 1024, 64 << 20, "Largest frame, in bytes.");
+  static final Setting<Duration> FIRST_BACKOFF =
+      millis("retries.first-backoff-ms", 10, 1, 10_000, "Longest delay before the first retry.");
+  static final Setting<Duration> MAX_BACKOFF =
+      millis("retries.max-backoff-ms", 200, 1, 60_000, "Longest delay before any retry.");
+  static final Setting<Duration> NO_UPSTREAM_WAIT =
+      millis(
+          "retries.no-upstream-wait-ms", 300, 0, 60_000, "How long a stage waits for an upstream.");
+  static final Setting<Double> RETRY_RATIO =
+      Setting.number("retries.ratio", 0.1, 0, 1, "Retries that each request adds to the budget.");
+  static final Setting<Integer> RETRY_BURST =
+      Setting.integer("retries.burst", 100, 0, 1_000_000, "Most retries that the budget holds.");
+  static final Setting<Integer> STREAM_CREDITS =
+      Setting.integer(
+          "streams.credits", 64, 1, 10_000, "Frames that an agent may send ahead of the caller.");
+  static final Setting<Duration> STREAM_GRACE =
+      millis(
+          "streams.grace-ms",
+          1000,
+          0,
+          60_000,
+          "Time in which a caller that lost its stream may resume before the work is canceled.");
+  static final Setting<Duration> STREAM_KEEP =
+      millis("streams.keep-ms", 10_000, 0, 600_000, "How long a finished stream can be resumed.");
+  static final Setting<Integer> STREAM_KEPT_TOKENS =
+      Setting.integer(
+          "streams.kept-tokens", 500_000, 0, 100_000_000, "Most tokens kept of finished streams.");
+  static final Setting<Duration> STOP_TIMEOUT =
+      millis("stop.timeout-ms", 60_000, 0, 600_000, "Longest time for a planned stop.");
+  static final Setting<Double> LOG_SAMPLING =
+      Setting.number("log.routing-sampling", 1.0, 0, 1, "Part of the routing decisions logged.");
+
+  static final SettingsSpec SPEC =
+      SettingsSpec.of(
+          "oriolewell-entry",
+          List.of(
+              NAME,
+              ZONE,
+              REGION,
+              CALLERS_ADDRESS,
+              CALLERS_PORT,
+              BODY_LIMIT,
+              MAX_REQUESTS,
+              MAX_DEADLINE,
+              OPERATORS_ADDRESS,
+              OPERATORS_PORT,
+              STORE_URL,
+              STORE_TIMEOUT,
+              CONFIG_POLL,
+              HOST_LIST_URL,
+              HOST_LIST_POLL,
+              HOST_LIST_TIMEOUT,
+              AGENTS,
+              PING,
+              DEAD,
+              CONNECT_TIMEOUT,
+              FRAME_LIMIT,
+              FIRST_BACKOFF,
+              MAX_BACKOFF,
+              NO_UPSTREAM_WAIT,
+              RETRY_RATIO,
+              RETRY_BURST,
+              STREAM_CREDITS,
+              STREAM_GRACE,
+              STREAM_KEEP,
+              STREAM_KEPT_TOKENS,
+              STOP_TIMEOUT,
+              LOG_SAMPLING));
+
+  private EntrySettings() {}
+
+  private static Setting<Duration> millis(
+      String key, long fallback, long min, long max, String description) {
+    return Setting.millis(
+        key,
+        Duration.ofMillis(fallback),
+        Duration.ofMillis(min),
+        Duration.ofMillis(max),
+        description);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/oriolewell/entry/HostListPoller.java
@@ -0,0 +1,89 @@
+package org.oriolewell.entry;
+
+import com.google.common.net.InetAddresses;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.oriolewell.runtime.log.EventLog;
+import org.oriolewell.runtime.log.RuntimeEvent;
+import org.oriolewell.runtime.platform.HostList;
+
+/**
+ * Reads the host list again and again. After a failure the last list stays in use, and an entry of
+ * the list that can't be used is left out.
+ */
+final class HostListPoller {
+  private final HostList hosts;
+  private final Consumer<Map<InetSocketAddress, Boolean>> proposals;
+  private final EventLog log;
+  private final AtomicBoolean running = new AtomicBoolean();
+  private final Set<String> reported = new HashSet<>();
+  private boolean available = true;
+
+  /**
+   * Creates a poller.
+   *
+   * @param proposals receives the addresses of agents and whether each is leaving
+   */
+  HostListPoller(
+      HostList hosts, Consumer<Map<InetSocketAddress, Boolean>> proposals, EventLog log) {
+    this.hosts = hosts;
+    this.proposals = proposals;
+    this.log = log;
+  }
+
+  /** Starts one read, unless the previous one hasn't ended. */
+  void poll() {
+    if (!running.compareAndSet(false, true)) {
+      return;
+    }
+    hosts.hosts().whenComplete(this::read);
+  }
+
+  private void read(List<HostList.Host> list, Throwable failure) {
+    try {
+      if (failure == null) {
+        available = true;
+        proposals.accept(addresses(list));
+      } else if (available) {
+        available = false;
+        log.event(RuntimeEvent.HOST_LIST_UNAVAILABLE).cause(failure).write();
+      }
+    } finally {
+      running.set(false);
+    }
+  }
+
+  private Map<InetSocketAddress, Boolean> addresses(List<HostList.Host> list) {
+    Map<InetSocketAddress, Boolean> addresses = new HashMap<>();
+    for (HostList.Host host : list) {
+      if (!host.kind().equals("agent")) {
+        continue;
+      }
+      if (!InetAddresses.isInetAddress(host.address())
+          || host.port() <= 0
+          || host.port() > 65_535) {
+        report(host);
+        continue;
+      }
+      InetSocketAddress address =
+          new InetSocketAddress(InetAddresses.forString(host.address()), host.port());
+      addresses.merge(address, host.state() == HostList.State.LEAVING, Boolean::logicalAnd);
+    }
+    return addresses;
+  }
+
+  private void report(HostList.Host host) {
+    if (reported.add(host.host())) {
+      log.event(EntryEvent.HOST_ENTRY_IGNORED)
+          .with("host", host.host())
+          .with("address", host.address() + ":" + host.port())
+          .write();
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/oriolewell/entry/RequestParser.java
@@ -0,0 +1,186 @@
+package org.oriolewell.entry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.cfg.JsonNodeFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.hash.Hashing;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.config.ConfigDocument;
+import org.oriolewell.core.config.PipelineSpec;
+import org.oriolewell.core.config.StageSpec;
+import org.oriolewell.core.config.WorkspaceSpec;
+import org.oriolewell.core.result.ProblemKind;
+import org.oriolewell.runtime.http.HttpCall;
+
+/** Reads and checks callers' requests; every fault is a {@link ProblemException}. */
+final class RequestParser {
+  private static final int MAX_KEY_LENGTH = 200;
+  private static final ObjectMapper SORTED =
+      JsonMapper.builder().enable(JsonNodeFeature.WRITE_PROPERTIES_SORTED).build();
+
+  private final Duration maxDeadline;
+
+  RequestParser(Duration maxDeadline) {
+    this.maxDeadline = maxDeadline;
+  }
+
+  /** Reads the body of {@code POST /v1/requests}. */
+  CallerRequest parse(HttpCall call, ConfigDocument config) {
+    JsonNode body = body(call);
+    String pipeline = text(body, "pipeline");
+    PipelineSpec spec = config.pipelines().get(pipeline);
+    if (spec == null || spec.stages().isEmpty()) {
+      throw ProblemException.of(
+          ProblemKind.UNKNOWN_PIPELINE,
+          "there is no pipeline '" + pipeline + "'; name a configured one");
+    }
+    String workspace = text(body, "workspace");
+    WorkspaceSpec owner = config.workspaces().get(workspace);
+    if (owner == null) {
+      throw ProblemException.of(
+          ProblemKind.UNKNOWN_WORKSPACE,
+          "there is no workspace '" + workspace + "'; name a configured one");
+    }
+    JsonNode input = body.get("input");
+    if (input == null) {
+      throw invalid("the member input is missing; add it");
+    }
+    return new CallerRequest(
+        pipeline,
+        spec,
+        workspace,
+        owner.firm(),
+        priority(body, owner),
+        deadline(body, spec),
+        key(call, body),
+        input,
+        flag(body, "stream"),
+        fingerprint(pipeline, workspace, input));
+  }
+
+  /** Reads a body that must be a JSON object. */
+  static JsonNode body(HttpCall call) {
+    try {
+      JsonNode body = call.json();
+      if (body == null || !body.isObject()) {
+        throw invalid("the body is not a JSON object; send one");
+      }
+      return body;
+    } catch (JsonProcessingException e) {
+      throw invalid("the body is not valid JSON: " + e.getOriginalMessage());
+    } catch (IOException e) {
+      throw invalid("the body is not valid JSON; send UTF-8");
+    }
+  }
+
+  /** Reads a member that must be a string that isn't empty. */
+  static String text(JsonNode body, String name) {
+    JsonNode member = body.get(name);
+    if (member == null || !member.isTextual() || member.textValue().isEmpty()) {
+      throw invalid("the member " + name + " is missing or not a string; set it");
+    }
+    return member.textValue();
+  }
+
+  private static boolean flag(JsonNode body, String name) {
+    JsonNode member = body.get(name);
+    if (isAbsent(member)) {
+      return false;
+    }
+    if (!member.isBoolean()) {
+      throw invalid("the member " + name + " is not true or false");
+    }
+    return member.booleanValue();
+  }
+
+  private static int priority(JsonNode body, WorkspaceSpec workspace) {
+    JsonNode member = body.get("priority");
+    if (isAbsent(member)) {
+      return workspace.priority();
+    }
+    if (!member.isIntegralNumber()
+        || !member.canConvertToInt()
+        || member.intValue() < 0
+        || member.intValue() > 9) {
+      throw invalid("the member priority is not an integer from 0 to 9");
+    }
+    return member.intValue();
+  }
+
+  private Duration deadline(JsonNode body, PipelineSpec spec) {
+    JsonNode member = body.get("deadline_ms");
+    long max = maxDeadline.toMillis();
+    long millis;
+    if (isAbsent(member)) {
+      millis = spec.deadlineMillis();
+    } else if (member.isIntegralNumber() && member.canConvertToLong()) {
+      millis = member.longValue();
+    } else {
+      millis = -1;
+    }
+    if (millis <= 0 || millis > max) {
+      throw ProblemException.of(
+          ProblemKind.INVALID_DEADLINE,
+          "the member deadline_ms is missing or wrong; set an integer from 1 to " + max);
+    }
+    long needed = spec.stages().stream().mapToLong(StageSpec::minMillis).sum();
+    if (millis < needed) {
+      throw ProblemException.of(
+          ProblemKind.DEADLINE_UNREACHABLE,
+          "the stages need at least " + needed + " ms; allow more time");
+    }
+    return Duration.ofMillis(millis);
+  }
+
+  private static @Nullable String key(HttpCall call, JsonNode body) {
+    Optional<String> header = call.header("Idempotency-Key");
+    JsonNode member = body.get("idempotency_key");
+    if (isAbsent(member)) {
+      return header.map(RequestParser::checkedKey).orElse(null);
+    }
+    String key = checkedKey(text(body, "idempotency_key"));
+    if (header.isPresent() && !header.get().equals(key)) {
+      throw invalid("the header Idempotency-Key differs from the member idempotency_key");
+    }
+    return key;
+  }
+
+  /** Checks the form of an idempotency key. */
+  static String checkedKey(String key) {
+    if (key.isEmpty() || key.length() > MAX_KEY_LENGTH) {
+      throw invalid("the idempotency key is empty or longer than " + MAX_KEY_LENGTH);
+    }
+    return key;
+  }
+
+  private static boolean isAbsent(@Nullable JsonNode member) {
+    return member == null || member.isNull();
+  }
+
+  /** Hashes what a request asks for, whatever the order of its members. */
+  private static long fingerprint(String pipeline, String workspace, JsonNode input) {
+    try {
+      return Hashing.sha256()
+          .newHasher()
+          .putString(pipeline, StandardCharsets.UTF_8)
+          .putByte((byte) 0)
+          .putString(workspace, StandardCharsets.UTF_8)
+          .putByte((byte) 0)
+          .putBytes(SORTED.writeValueAsBytes(input))
+          .hash()
+          .asLong();
+    } catch (JsonProcessingException e) {
+      throw invalid("the member input cannot be written as JSON: " + e.getOriginalMessage());
+    }
+  }
+
+  private static ProblemException invalid(String detail) {
+    return ProblemException.of(ProblemKind.INVALID_REQUEST, detail);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/oriolewell/entry/RunContext.java
@@ -0,0 +1,32 @@
+package org.oriolewell.entry;
+
+import java.time.InstantSource;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.oriolewell.core.result.RequestPlan;
+import org.oriolewell.runtime.log.EventLog;
+
+/**
+ * What all requests share.
+ *
+ * @param router finds agents
+ * @param budgets retry budgets
+ * @param timers runs deadlines and delays
+ * @param clock clock that never goes back
+ * @param keys makes idempotency keys
+ * @param random jitter
+ * @param timing delays between attempts
+ * @param credits frames that an agent may send ahead
+ */
+record RunContext(
+    Router router,
+    RetryBudgets budgets,
+    ScheduledExecutorService timers,
+    InstantSource clock,
+    Supplier<String> keys,
+    RandomGenerator random,
+    RequestPlan.Timing timing,
+    int credits,
+    EntryMetrics metrics,
+    EventLog log) {}
--- /dev/null
+++ b/entry/src/test/java/org/oriolewell/entry/TestBed.java
@@ -0,0 +1,173 @@
+package org.oriolewell.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.oriolewell.core.config.ConfigDocument;
+import org.oriolewell.core.config.ConfigJson;
+import org.oriolewell.core.config.FirmSpec;
+import org.oriolewell.core.config.PipelineSpec;
+import org.oriolewell.core.config.PoolSpec;
+import org.oriolewell.core.config.StageSpec;
+import org.oriolewell.core.config.WorkspaceSpec;
+import org.oriolewell.runtime.http.HttpReply;
+import org.oriolewell.runtime.http.JsonServer;
+import org.oriolewell.runtime.log.EventLog;
+
+/** An entry on free ports with a store that holds a small configuration. */
+final class TestBed implements AutoCloseable {
+  static final ObjectMapper JSON = new ObjectMapper();
+  private static final Duration PATIENCE = Duration.ofSeconds(10);
+
+  final Entry entry;
+  private final JsonServer store;
+  private final HttpClient http = HttpClient.newHttpClient();
+
+  private TestBed(ConfigDocument config, String moreSettings, FakeAgent... agents)
+      throws Exception {
+    store =
+        JsonServer.of(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                1 << 20,
+                EventLog.of("test", InstantSource.system()))
+            .route("GET", "/v1/kv/config/document", call -> document(config))
+            .start("store");
+    String text =
+        "store.url = \"http://127.0.0.1:"
+            + store.address().getPort()
+            + "\"\ncallers.port = 0\noperators.port = 0\nentry.zone = \"z1\"\nentry.region = \"r1\""
+            + "\nagents.static = ["
+            + Stream.of(agents)
+                .map(agent -> '"' + agent.address() + '"')
+                .collect(Collectors.joining(","))
+            + "]\n"
+            + moreSettings;
+    entry = Entry.start(EntrySettings.SPEC.parse("test", text), server -> {});
+    if (config.version() > 0) {
+      await(() -> get("/ready", true).statusCode() == 200);
+    }
+    await(() -> connected() == agents.length);
+  }
+
+  static TestBed start(String moreSettings, FakeAgent... agents) throws Exception {
+    return new TestBed(config(), moreSettings, agents);
+  }
+
+  static TestBed withoutConfig() throws Exception {
+    return new TestBed(ConfigDocument.empty(), "");
+  }
+
+  private static CompletableFuture<HttpReply> document(ConfigDocument config) {
+    return CompletableFuture.completedFuture(
+        config.version() == 0
+            ? HttpReply.text(404, "")
+            : HttpReply.bytes(200, ConfigJson.write(config), Map.of("Revision", "1")));
+  }
+
+  private static ConfigDocument config() {
+    StageSpec encode = new StageSpec("encode", "encoders", "encode", true, 0, null, 0);
+    StageSpec generate = new StageSpec("generate", "engines", "generate", true, 0, "m", 64);
+    StageSpec pay = new StageSpec("pay", "ledgers", "pay", false, 0, null, 0);
+    return new ConfigDocument(
+        ConfigDocument.SCHEMA,
+        1,
+        Map.of("f", new FirmSpec(1)),
+        Map.of("w", new WorkspaceSpec("f", 1, 5)),
+        Map.of("ledgers", new PoolSpec(PoolSpec.Kind.SERVICE, 1, List.of(), false)),
+        Map.of(
+            "encode", new PipelineSpec(0, List.of(encode)),
+            "chat", new PipelineSpec(11_000, List.of(encode, generate)),
+            "draft", new PipelineSpec(11_000, List.of(generate)),
+            "payout", new PipelineSpec(11_000, List.of(pay)),
+            "dossier", new PipelineSpec(11_000, List.of(pay, encode))),
+        Map.of(),
+        List.of());
+  }
+
+  /** Returns the body of a request. */
+  static String body(String pipeline, String more) {
+    return "{\"pipeline\":\""
+        + pipeline
+        + "\",\"workspace\":\"w\",\"input\":{\"q\":1}"
+        + more
+        + "}";
+  }
+
+  CompletableFuture<HttpResponse<String>> postAsync(String body) {
+    return http.sendAsync(
+        request("/v1/requests", false).POST(HttpRequest.BodyPublishers.ofString(body)).build(),
+        HttpResponse.BodyHandlers.ofString());
+  }
+
+  HttpResponse<String> post(String body) throws Exception {
+    return postAsync(body).get(10, java.util.concurrent.TimeUnit.SECONDS);
+  }
+
+  CompletableFuture<HttpResponse<Stream<String>>> openStream(String body) {
+    return http.sendAsync(
+        request("/v1/requests", false).POST(HttpRequest.BodyPublishers.ofString(body)).build(),
+        HttpResponse.BodyHandlers.ofLines());
+  }
+
+  HttpResponse<String> get(String path, boolean operators) {
+    try {
+      return http.send(
+          request(path, operators).GET().build(), HttpResponse.BodyHandlers.ofString());
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private HttpRequest.Builder request(String path, boolean operators) {
+    int port = (operators ? entry.operatorsAddress() : entry.callersAddress()).getPort();
+    return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path));
+  }
+
+  long connected() {
+    JsonNode agents = json(get("/v1/status", true)).path("agents");
+    long count = 0;
+    for (JsonNode agent : agents) {
+      count += agent.path("connected").asBoolean() ? 1 : 0;
+    }
+    return count;
+  }
+
+  static JsonNode json(HttpResponse<String> response) {
+    try {
+      return JSON.readTree(response.body());
+    } catch (java.io.IOException e) {
+      throw new IllegalStateException(response.body(), e);
+    }
+  }
+
+  /** Waits until a condition holds. */
+  static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + PATIENCE.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("the condition did not hold within " + PATIENCE);
+      }
+      LockSupport.parkNanos(2_000_000);
+    }
+  }
+
+  @Override
+  public void close() throws Exception {
+    entry.close();
+    store.close();
+  }
+}
--- a/runtime/src/main/java/org/oriolewell/runtime/http/HttpCall.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/http/HttpCall.java
@@ -76,7 +76,13 @@
 
   /** Starts a streamed answer; the body follows through {@link #write}. */
   public void startStream(int status, String contentType) {
+    startStream(status, contentType, Map.of());
+  }
+
+  /** Starts a streamed answer with further headers. */
+  public void startStream(int status, String contentType, Map<String, String> headers) {
     response.setStatus(status);
+    headers.forEach((name, value) -> response.getHeaders().put(name, value));
     response.getHeaders().put("Content-Type", contentType);
     response.getHeaders().put("Cache-Control", "no-store");
   }
