Send non-idempotent calls to shard owners and settle keys

Cause: a payout, sale or permit must run at most once, and its caller must hear a truthful outcome. JsonServer lets answers that are being written finish when it closes, else the last answers of a planned stop were cut. Conclusion: the histories found a grant that a later event of the same call forgot; fixed.

--- a/core/src/main/java/org/oriolewell/core/result/RequestMachine.java
+++ b/core/src/main/java/org/oriolewell/core/result/RequestMachine.java
@@ -111,7 +111,7 @@
         attempts.upstream = e.upstream();
       }
     } else if (event instanceof RequestEvent.Unsent e) {
-      if (isCurrent(e.call())) {
+      if (isCurrent(e.call()) && !granted) {
         unsent(now, actions);
       }
     } else if (event instanceof RequestEvent.Tokens e) {
@@ -250,7 +250,11 @@
     long retryAfter = refusal.retryAfterMillis();
     if (!stage().idempotent() && refusal.outcome() != Outcome.NOT_RUN) {
       granted = true;
-      fail(ProblemKind.OUTCOME_UNKNOWN, detail, retryAfter, actions);
+      fail(
+          kind.isFinal() ? kind.problem() : ProblemKind.OUTCOME_UNKNOWN,
+          detail,
+          retryAfter,
+          actions);
       return;
     }
     granted = false;
--- /dev/null
+++ b/core/src/test/java/org/oriolewell/core/result/RequestHistoryTest.java
@@ -0,0 +1,139 @@
+package org.oriolewell.core.result;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/**
+ * Guards the rules that must hold whatever the order of events: one end, no effect of stale calls,
+ * and {@code not_run} only if no call that was granted may have run.
+ */
+class RequestHistoryTest {
+  private static final int STEPS = 60;
+  private static final List<RequestPlan.Stage> STAGES =
+      List.of(
+          new RequestPlan.Stage("encode", true, false),
+          new RequestPlan.Stage("pay", false, false),
+          new RequestPlan.Stage("generate", true, true));
+
+  @Property(tries = 3000, seed = "20261204")
+  void everyHistoryEndsAtMostOnceAndTruthfully(@ForAll long seed) {
+    new History(new Random(seed)).run();
+  }
+
+  private static final class History {
+    private final Random random;
+    private final RequestMachine machine;
+    private final List<StageCall> calls = new ArrayList<>();
+    private final Set<StageCall> maybeRan = new HashSet<>();
+    private Instant now = Instant.EPOCH;
+    private int ends;
+    private long emitted;
+
+    History(Random random) {
+      this.random = random;
+      RequestPlan plan =
+          new RequestPlan(
+              "r",
+              STAGES,
+              now.plusSeconds(1),
+              random.nextBoolean() ? "k" : null,
+              new RequestPlan.Timing(
+                  Duration.ofMillis(5), Duration.ofMillis(50), Duration.ofMillis(100)));
+      machine = RequestMachine.of(plan, () -> random.nextInt(4) > 0, () -> "made", random);
+    }
+
+    void run() {
+      feed(new RequestEvent.Begin());
+      for (int i = 0; i < STEPS; i++) {
+        now = now.plusMillis(random.nextInt(20));
+        feed(event());
+      }
+      feed(new RequestEvent.DeadlinePassed());
+      assertThat(ends).isEqualTo(1);
+    }
+
+    /** Picks the newest call most of the time, so that histories get far. */
+    private StageCall call() {
+      int last = calls.size() - 1;
+      return calls.get(random.nextInt(4) > 0 ? last : random.nextInt(last + 1));
+    }
+
+    private RequestEvent event() {
+      StageCall call = call();
+      return switch (random.nextInt(16)) {
+        case 0 -> new RequestEvent.Lost(call, "lost");
+        case 1 -> new RequestEvent.Refused(call, refusal());
+        case 2 -> new RequestEvent.Garbled(call, "garbled");
+        case 3 -> new RequestEvent.Unsent(call);
+        case 4, 5, 6 -> new RequestEvent.StartAsked(call);
+        case 7, 8, 9 -> new RequestEvent.Tokens(call, emitted, List.of("a", "b"));
+        case 10 -> new RequestEvent.Tokens(call, random.nextInt(5), List.of("a"));
+        case 11, 12 -> new RequestEvent.Due(call);
+        case 13 ->
+            random.nextInt(20) == 0
+                ? new RequestEvent.CallerLeft()
+                : new RequestEvent.Sent(call, "u");
+        default -> new RequestEvent.Answered(call, emitted);
+      };
+    }
+
+    private Refusal refusal() {
+      Refusal.Kind[] kinds = Refusal.Kind.values();
+      Outcome outcome = random.nextInt(4) == 0 ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+      return new Refusal(kinds[random.nextInt(kinds.length)], outcome, "detail", 0);
+    }
+
+    private void feed(RequestEvent event) {
+      boolean wasDone = machine.isDone();
+      List<RequestAction> actions = machine.on(event, now);
+      if (event instanceof RequestEvent.Refused refused
+          && refused.refusal().outcome() == Outcome.NOT_RUN
+          && actions.stream().noneMatch(RequestAction.Stale.class::isInstance)) {
+        maybeRan.remove(refused.call());
+      }
+      actions.forEach(action -> check(action, wasDone));
+      if (event instanceof RequestEvent.StartAsked) {
+        assertThat(actions).isNotEmpty();
+      }
+    }
+
+    private void check(RequestAction action, boolean wasDone) {
+      if (action instanceof RequestAction.Dispatch a) {
+        assertThat(wasDone).isFalse();
+        assertThat(calls).doesNotContain(a.call());
+        assertThat(maybeRan.stream().map(StageCall::stage)).doesNotContain(a.call().stage());
+        calls.add(a.call());
+        emitted = a.resumeFrom();
+      } else if (action instanceof RequestAction.Wait a) {
+        assertThat(calls).doesNotContain(a.call());
+      } else if (action instanceof RequestAction.Grant a) {
+        assertThat(wasDone).isFalse();
+        assertThat(a.call().stage()).isEqualTo(1);
+        assertThat(maybeRan.add(a.call())).isTrue();
+      } else if (action instanceof RequestAction.Emit a) {
+        assertThat(a.position()).isEqualTo(emitted);
+        emitted += a.items().size();
+      } else if (action instanceof RequestAction.Fail a) {
+        ends++;
+        if (a.failure().outcome() == Outcome.NOT_RUN) {
+          assertThat(maybeRan).isEmpty();
+        }
+      } else if (action instanceof RequestAction.Complete a) {
+        ends++;
+        assertThat(a.count()).isEqualTo(emitted);
+        assertThat(a.stages()).hasSize(STAGES.size());
+      } else if (action instanceof RequestAction.Abandon) {
+        ends++;
+      }
+    }
+  }
+}
--- a/entry/src/main/java/org/oriolewell/entry/AgentDirectory.java
+++ b/entry/src/main/java/org/oriolewell/entry/AgentDirectory.java
@@ -1,5 +1,7 @@
 package org.oriolewell.entry;
 
+import com.google.common.base.CharMatcher;
+import com.google.common.base.Splitter;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -18,6 +20,9 @@
  * says of itself decides its pool and zone, and only connected agents are members of a pool.
  */
 final class AgentDirectory implements AutoCloseable {
+  private static final Splitter WORDS =
+      Splitter.on(CharMatcher.whitespace().or(CharMatcher.anyOf(",;()'\"")));
+
   private final String zone;
   private final String region;
   private final Set<InetSocketAddress> fixed = new HashSet<>();
@@ -126,19 +131,19 @@
     return Optional.ofNullable(owners.get(shard));
   }
 
-  /** Returns the connected agent whose process name or address occurs in a text. */
+  /** Returns the connected agent whose process name or address occurs in a text as a word. */
   Optional<AgentLink> named(@Nullable String text) {
     if (text == null) {
       return Optional.empty();
     }
-    return links.values().stream().filter(link -> isNamed(link, text)).findFirst();
+    Set<String> words = Set.copyOf(WORDS.splitToList(text));
+    return links.values().stream().filter(link -> isNamed(link, words)).findFirst();
   }
 
-  private static boolean isNamed(AgentLink link, String text) {
+  private static boolean isNamed(AgentLink link, Set<String> words) {
     String address = link.address().getHostString() + ":" + link.address().getPort();
-    return link.peer()
-        .map(peer -> text.contains(peer.process()) || text.contains(address))
-        .orElse(false);
+    return link.peer().isPresent()
+        && (words.contains(link.processName()) || words.contains(address));
   }
 
   /** Returns all links. */
--- a/entry/src/main/java/org/oriolewell/entry/AgentLink.java
+++ b/entry/src/main/java/org/oriolewell/entry/AgentLink.java
@@ -83,6 +83,12 @@
     return Optional.ofNullable(peer);
   }
 
+  /** Returns the agent's process name, or an empty string if it isn't connected. */
+  String processName() {
+    Peer known = peer;
+    return known == null ? "" : known.process();
+  }
+
   /** Returns the number of this entry's calls that the agent has. */
   int inFlight() {
     return calls.size();
--- a/entry/src/main/java/org/oriolewell/entry/CallersApi.java
+++ b/entry/src/main/java/org/oriolewell/entry/CallersApi.java
@@ -1,6 +1,8 @@
 package org.oriolewell.entry;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -19,6 +21,7 @@
   private final RequestParser parser;
   private final RunContext context;
   private final RequestTable streams;
+  private final Settler settler;
   private final Limits limits;
   private final SecureRandom ids = new SecureRandom();
   private final AtomicInteger open = new AtomicInteger();
@@ -30,18 +33,20 @@
    * @param maxRequests most requests in flight
    * @param streamGrace time in which a caller that lost its stream may resume
    */
-  record Limits(int maxRequests, java.time.Duration streamGrace) {}
+  record Limits(int maxRequests, Duration streamGrace) {}
 
   CallersApi(
       ConfigSource config,
       RequestParser parser,
       RunContext context,
       RequestTable streams,
+      Settler settler,
       Limits limits) {
     this.config = config;
     this.parser = parser;
     this.context = context;
     this.streams = streams;
+    this.settler = settler;
     this.limits = limits;
   }
 
@@ -50,6 +55,7 @@
     return server
         .streamRoute("POST", "/v1/requests", this::request)
         .streamRoute("GET", "/v1/requests/{id}/stream", this::resume)
+        .route("POST", "/v1/calls/settle", this::settle)
         .onFailure(Problems::of);
   }
 
@@ -147,6 +153,27 @@
     return session.attach(call, from, open::decrementAndGet);
   }
 
+  private CompletableFuture<HttpReply> settle(HttpCall call) {
+    ConfigDocument document = ready();
+    JsonNode body = RequestParser.body(call);
+    String pipeline = RequestParser.text(body, "pipeline");
+    String workspace = RequestParser.text(body, "workspace");
+    String key = RequestParser.checkedKey(RequestParser.text(body, "idempotency_key"));
+    open.incrementAndGet();
+    return settler
+        .settle(document, workspace, pipeline, key)
+        .thenApply(settlement -> settled(key, settlement))
+        .whenComplete((reply, failure) -> open.decrementAndGet());
+  }
+
+  private static HttpReply settled(String key, Settlement settlement) {
+    Map<String, Object> body = new LinkedHashMap<>();
+    body.put("idempotency_key", key);
+    body.put("outcome", settlement.outcome().apiName());
+    body.put("stages", settlement.stages());
+    return HttpReply.json(200, body);
+  }
+
   private static long position(HttpCall call) {
     try {
       long from = Long.parseLong(call.query("from").orElse("0"));
--- a/entry/src/main/java/org/oriolewell/entry/Entry.java
+++ b/entry/src/main/java/org/oriolewell/entry/Entry.java
@@ -17,6 +17,7 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.HttpClient;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.call.IdempotencyKey;
 import org.oriolewell.core.config.ConfigDocument;
 import org.oriolewell.core.result.RequestPlan;
 import org.oriolewell.runtime.http.JsonServer;
@@ -36,6 +37,7 @@
 
   private final Settings settings;
   private final EventLog log = EventLog.of("entry", InstantSource.system());
+  private final InstantSource wall = InstantSource.system();
   private final InstantSource clock = new SteadyClock();
   private final Random random = new Random();
   private final ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(2);
@@ -170,7 +172,7 @@
             new RetryBudgets(value(EntrySettings.RETRY_RATIO), value(EntrySettings.RETRY_BURST)),
             timers,
             clock,
-            () -> UUID.randomUUID().toString(),
+            () -> IdempotencyKey.generate(wall.instant(), random).text(),
             random,
             new RequestPlan.Timing(
                 value(EntrySettings.FIRST_BACKOFF),
@@ -187,6 +189,7 @@
         new RequestParser(value(EntrySettings.MAX_DEADLINE)),
         context,
         streams,
+        new Settler(agents, timers, value(EntrySettings.SETTLE_TIMEOUT)),
         new CallersApi.Limits(
             value(EntrySettings.MAX_REQUESTS), value(EntrySettings.STREAM_GRACE)));
   }
@@ -292,8 +295,16 @@
     return operators.address();
   }
 
+  /** Returns the number of requests that aren't fully answered. */
+  int inFlight() {
+    return api.inFlight();
+  }
+
   @Override
   public void close() throws Exception {
+    if (stopping) {
+      return;
+    }
     stopping = true;
     api.stop();
     log.event(RuntimeEvent.STOPPING).with("in_flight", api.inFlight()).write();
--- a/entry/src/main/java/org/oriolewell/entry/EntryEvent.java
+++ b/entry/src/main/java/org/oriolewell/entry/EntryEvent.java
@@ -29,10 +29,6 @@
       2013,
       Level.WARNING,
       "A process answered the dial with a wrong role or protocol version. Check the host list."),
-  AGENT_MISNAMED(
-      2014,
-      Level.WARNING,
-      "The host list names another pool than the agent itself; the agent's word is used."),
   HOST_ENTRY_IGNORED(
       2015,
       Level.WARNING,
--- a/entry/src/main/java/org/oriolewell/entry/EntrySettings.java
+++ b/entry/src/main/java/org/oriolewell/entry/EntrySettings.java
@@ -77,6 +77,8 @@
   static final Setting<Integer> STREAM_KEPT_TOKENS =
       Setting.integer(
           "streams.kept-tokens", 500_000, 0, 100_000_000, "Most tokens kept of finished streams.");
+  static final Setting<Duration> SETTLE_TIMEOUT =
+      millis("callers.settle-timeout-ms", 5000, 1, 60_000, "Longest time to settle a key.");
   static final Setting<Duration> STOP_TIMEOUT =
       millis("stop.timeout-ms", 60_000, 0, 600_000, "Longest time for a planned stop.");
   static final Setting<Double> LOG_SAMPLING =
@@ -94,6 +96,7 @@
               BODY_LIMIT,
               MAX_REQUESTS,
               MAX_DEADLINE,
+              SETTLE_TIMEOUT,
               OPERATORS_ADDRESS,
               OPERATORS_PORT,
               STORE_URL,
--- a/entry/src/main/java/org/oriolewell/entry/RequestParser.java
+++ b/entry/src/main/java/org/oriolewell/entry/RequestParser.java
@@ -11,6 +11,8 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.call.IdempotencyKey;
+import org.oriolewell.core.call.InvalidKeyException;
 import org.oriolewell.core.config.ConfigDocument;
 import org.oriolewell.core.config.PipelineSpec;
 import org.oriolewell.core.config.StageSpec;
@@ -20,7 +22,6 @@
 
 /** Reads and checks callers' requests; every fault is a {@link ProblemException}. */
 final class RequestParser {
-  private static final int MAX_KEY_LENGTH = 200;
   private static final ObjectMapper SORTED =
       JsonMapper.builder().enable(JsonNodeFeature.WRITE_PROPERTIES_SORTED).build();
 
@@ -53,6 +54,7 @@
     }
     return new CallerRequest(
         pipeline,
+        config,
         spec,
         workspace,
         owner.firm(),
@@ -151,12 +153,13 @@
     return key;
   }
 
-  /** Checks the form of an idempotency key. */
+  /** Checks that an idempotency key carries its time of issue. */
   static String checkedKey(String key) {
-    if (key.isEmpty() || key.length() > MAX_KEY_LENGTH) {
-      throw invalid("the idempotency key is empty or longer than " + MAX_KEY_LENGTH);
+    try {
+      return IdempotencyKey.parse(key).text();
+    } catch (InvalidKeyException e) {
+      throw ProblemException.of(ProblemKind.KEY_TIME, String.valueOf(e.getMessage()));
     }
-    return key;
   }
 
   private static boolean isAbsent(@Nullable JsonNode member) {
--- a/entry/src/main/java/org/oriolewell/entry/RequestRun.java
+++ b/entry/src/main/java/org/oriolewell/entry/RequestRun.java
@@ -214,7 +214,7 @@
     }
     unreadFrames.clear();
     owedCredits = 0;
-    AgentLink link = context.router().route(dispatch, stage(call)).orElse(null);
+    AgentLink link = context.router().route(dispatch, request).orElse(null);
     if (link == null) {
       apply(new RequestEvent.Unsent(call));
     } else {
@@ -224,7 +224,7 @@
 
   private void send(RequestAction.Dispatch dispatch, AgentLink link) {
     StageCall call = dispatch.call();
-    final String upstream = link.peer().map(AgentLink.Peer::process).orElse("");
+    final String upstream = link.processName();
     OptionalLong stream;
     try {
       byte[] payload = payload();
--- a/entry/src/main/java/org/oriolewell/entry/Router.java
+++ b/entry/src/main/java/org/oriolewell/entry/Router.java
@@ -11,6 +11,7 @@
 final class Router {
   private final AgentDirectory directory;
   private final Chooser chooser;
+  private final OwnerChooser owners;
   private final double sampling;
   private final RandomGenerator random;
   private final EventLog log;
@@ -28,17 +29,25 @@
       EventLog log) {
     this.directory = directory;
     this.chooser = chooser;
+    this.owners = new OwnerChooser(directory);
     this.sampling = sampling;
     this.random = random;
     this.log = log;
   }
 
   /** Returns the agent for a call, or empty if none takes it. */
-  Optional<AgentLink> route(RequestAction.Dispatch dispatch, StageSpec stage) {
+  Optional<AgentLink> route(RequestAction.Dispatch dispatch, CallerRequest request) {
+    StageCall call = dispatch.call();
+    StageSpec stage = request.spec().stages().get(call.stage());
     PoolMembers members = directory.members(stage.pool());
-    Optional<Chooser.Choice> choice = chooser.choose(members, dispatch.avoid());
+    String key = dispatch.key();
+    Optional<Chooser.Choice> choice =
+        key == null
+            ? chooser.choose(members, dispatch.avoid())
+            : owners.choose(
+                members, request.shard(call.stage(), key), dispatch.owner(), dispatch.avoid());
     if (sampling >= 1 || random.nextDouble() < sampling) {
-      write(dispatch.call(), stage, choice);
+      write(call, stage, choice);
     }
     return choice.map(Chooser.Choice::link);
   }
@@ -50,8 +59,7 @@
         .with("attempt", call.attempt())
         .with("pool", stage.pool())
         .with("candidates", choice.map(Chooser.Choice::candidates).orElse(""))
-        .with(
-            "choice", choice.flatMap(c -> c.link().peer()).map(AgentLink.Peer::process).orElse(""))
+        .with("choice", choice.map(c -> c.link().processName()).orElse(""))
         .with("reason", choice.map(Chooser.Choice::reason).orElse("no usable agent"))
         .write();
   }
--- a/entry/src/main/java/org/oriolewell/entry/TwoChoices.java
+++ b/entry/src/main/java/org/oriolewell/entry/TwoChoices.java
@@ -52,18 +52,14 @@
     int start = size == 0 ? 0 : random.nextInt(size);
     for (int i = 0; i < size; i++) {
       AgentLink link = group.get((start + i) % size);
-      if (link != except && link.usable() && !avoid.contains(name(link))) {
+      if (link != except && link.usable() && !avoid.contains(link.processName())) {
         return link;
       }
     }
     return null;
   }
 
-  private static String name(AgentLink link) {
-    return link.peer().map(AgentLink.Peer::process).orElse("");
-  }
-
   private static String describe(AgentLink link) {
-    return name(link) + "(" + link.inFlight() + ")";
+    return link.processName() + "(" + link.inFlight() + ")";
   }
 }
--- /dev/null
+++ b/entry/src/test/java/org/oriolewell/entry/BadInputTest.java
@@ -0,0 +1,64 @@
+package org.oriolewell.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpResponse;
+import org.junit.jupiter.api.Test;
+
+/** Guards against bad requests that are answered vaguely, reach an agent, or harm the entry. */
+class BadInputTest {
+  private static final String DEADLINE = ",\"deadline_ms\":1000";
+
+  private static void assertRefused(TestBed bed, String body, int status, String kind)
+      throws Exception {
+    HttpResponse<String> response = bed.post(body);
+    JsonNode problem = TestBed.json(response);
+    assertThat(problem.path("type").asText()).isEqualTo("urn:oriolewell:problem:" + kind);
+    assertThat(response.statusCode()).isEqualTo(status);
+    assertThat(response.headers().firstValue("Content-Type")).hasValue("application/problem+json");
+    assertThat(problem.path("outcome").asText()).isEqualTo("not_run");
+    assertThat(problem.path("detail").asText()).isNotEmpty();
+  }
+
+  @Test
+  void everyFaultHasItsOwnProblemAndReachesNoAgent() throws Exception {
+    try (FakeAgent agent = FakeAgent.start("enc-1", "encoders", (a, from, message) -> {});
+        TestBed bed = TestBed.start("callers.body-limit-bytes = 4096", agent)) {
+      final String good = TestBed.body("encode", DEADLINE);
+      assertRefused(bed, "{\"pipeline\":", 400, "invalid-request");
+      assertRefused(bed, "[1]", 400, "invalid-request");
+      assertRefused(bed, "", 400, "invalid-request");
+      assertRefused(bed, "{}", 400, "invalid-request");
+      assertRefused(bed, good.replace("\"input\"", "\"inptu\""), 400, "invalid-request");
+      assertRefused(
+          bed, TestBed.body("encode", DEADLINE + ",\"priority\":10"), 400, "invalid-request");
+      assertRefused(bed, TestBed.body("nil", DEADLINE), 404, "unknown-pipeline");
+      assertRefused(bed, good.replace("\"w\"", "\"x\""), 404, "unknown-workspace");
+      assertRefused(bed, TestBed.body("encode", ""), 400, "invalid-deadline");
+      for (String wrong : new String[] {"-1", "0", "1.5", "\"5\"", "60001", "1e30"}) {
+        assertRefused(
+            bed, TestBed.body("encode", ",\"deadline_ms\":" + wrong), 400, "invalid-deadline");
+      }
+      assertRefused(
+          bed, TestBed.body("encode", DEADLINE + ",\"idempotency_key\":\"abc\""), 400, "key-time");
+      assertRefused(
+          bed, good.replace("{\"q\":1}", '"' + "x".repeat(5000) + '"'), 413, "body-too-large");
+      assertThat(agent.received).hasSize(1);
+      assertThat(bed.entry.inFlight()).isZero();
+    }
+  }
+
+  @Test
+  void entryWithoutConfigurationOrUpstreamRefuses() throws Exception {
+    String good = TestBed.body("encode", DEADLINE);
+    try (TestBed bed = TestBed.withoutConfig()) {
+      assertThat(bed.get("/ready", true).statusCode()).isEqualTo(503);
+      assertThat(bed.get("/health", true).statusCode()).isEqualTo(200);
+      assertRefused(bed, good, 503, "not-ready");
+    }
+    try (TestBed bed = TestBed.start("")) {
+      assertRefused(bed, good, 503, "no-upstream");
+    }
+  }
+}
--- a/entry/src/test/java/org/oriolewell/entry/FakeAgent.java
+++ b/entry/src/test/java/org/oriolewell/entry/FakeAgent.java
@@ -77,6 +77,24 @@
     to.send(new Message.Refused(stream, kind, outcome, detail, 0, load()));
   }
 
+  /** Sends a message without being asked. */
+  void send(Message message) {
+    WireConnection open = connection;
+    if (open != null) {
+      open.send(message);
+    }
+  }
+
+  /** Sends a single token at a position. */
+  void sendTokens(long stream, long position) {
+    send(new Message.Tokens(stream, position, List.of("t" + position)));
+  }
+
+  /** Answers a call of the newest connection. */
+  void sendAnswer(long stream, String json) {
+    send(new Message.Result(stream, json.getBytes(StandardCharsets.UTF_8), 0, load()));
+  }
+
   /** Returns the received messages of a type, in order. */
   <M extends Message> List<M> received(Class<M> type) {
     return received.stream().filter(type::isInstance).map(type::cast).toList();
--- a/entry/src/test/java/org/oriolewell/entry/TestBed.java
+++ b/entry/src/test/java/org/oriolewell/entry/TestBed.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.oriolewell.core.config.ConfigDocument;
@@ -117,6 +118,16 @@
     return postAsync(body).get(10, java.util.concurrent.TimeUnit.SECONDS);
   }
 
+  HttpResponse<String> postNow(String body) {
+    return postAsync(body).join();
+  }
+
+  HttpResponse<String> settle(String body) throws Exception {
+    return http.send(
+        request("/v1/calls/settle", false).POST(HttpRequest.BodyPublishers.ofString(body)).build(),
+        HttpResponse.BodyHandlers.ofString());
+  }
+
   CompletableFuture<HttpResponse<Stream<String>>> openStream(String body) {
     return http.sendAsync(
         request("/v1/requests", false).POST(HttpRequest.BodyPublishers.ofString(body)).build(),
@@ -165,6 +176,29 @@
     }
   }
 
+  /** Waits until a number hasn't changed for half a second. */
+  static void awaitStable(IntSupplier number) {
+    int[] last = {-1};
+    long[] since = {System.nanoTime()};
+    await(
+        () -> {
+          if (number.getAsInt() != last[0] || last[0] <= 0) {
+            last[0] = number.getAsInt();
+            since[0] = System.nanoTime();
+          }
+          return System.nanoTime() - since[0] > 500_000_000;
+        });
+  }
+
+  /** Does a planned stop of the entry. */
+  void closeEntry() {
+    try {
+      entry.close();
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   @Override
   public void close() throws Exception {
     entry.close();
--- a/runtime/src/main/java/org/oriolewell/runtime/http/JsonServer.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/http/JsonServer.java
@@ -18,6 +18,7 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.server.SslConnectionFactory;
+import org.eclipse.jetty.server.handler.GracefulHandler;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -34,6 +35,12 @@
 public final class JsonServer implements AutoCloseable {
   private static final int MAX_THREADS = 64;
 
+  /** Time in which answers that are being written reach their callers when the server closes. */
+  private static final Duration STOP_TIMEOUT = Duration.ofSeconds(5);
+
+  /** Time after which a closing server drops a connection on which nothing moves. */
+  private static final Duration STOP_IDLE_TIMEOUT = Duration.ofMillis(250);
+
   private final Server server;
   private final ServerConnector connector;
   private final EventLog log;
@@ -69,8 +76,10 @@
     connector.setHost(address.getHostString());
     connector.setPort(address.getPort());
     connector.setAcceptQueueSize(1024);
+    connector.setShutdownIdleTimeout(STOP_IDLE_TIMEOUT.toMillis());
     server.addConnector(connector);
-    server.setHandler(new RoutingHandler());
+    server.setHandler(new GracefulHandler(new RoutingHandler()));
+    server.setStopTimeout(STOP_TIMEOUT.toMillis());
   }
 
   /** Returns a server without TLS. Port 0 lets the system choose a port. */
