--- /dev/null
+++ b/core/src/main/java/org/oriolewell/core/admission/Shares.java
@@ -0,0 +1,34 @@
+package org.oriolewell.core.admission;
+
+import java.util.Map;
+
+/**
+ * Shares of firms, and weights of workspaces within their firm. A name that is missing has weight
+ * {@link #DEFAULT}.
+ *
+ * @param firms share by firm, over 0
+ * @param workspaces weight by workspace, over 0
+ */
+public record Shares(Map<String, Double> firms, Map<String, Double> workspaces) {
+  /** Weight of a firm or workspace that the configuration does not name (yet). */
+  public static final double DEFAULT = 0.1;
+
+  /** Copies the maps. */
+  public Shares {
+    firms = Map.copyOf(firms);
+    workspaces = Map.copyOf(workspaces);
+  }
+
+  /** Returns shares in which all firms and workspaces are equal. */
+  public static Shares equal() {
+    return new Shares(Map.of(), Map.of());
+  }
+
+  double firm(String name) {
+    return firms.getOrDefault(name, DEFAULT);
+  }
+
+  double workspace(String name) {
+    return workspaces.getOrDefault(name, DEFAULT);
+  }
+}
