--- a/core/src/main/java/org/oriolewell/core/membership/Membership.java
+++ b/core/src/main/java/org/oriolewell/core/membership/Membership.java
@@ -117,8 +117,9 @@
   }
 
   /**
-   * Applies the passage of time. When the call itself comes late, since this process was paused,
-   * the pause is not held against the members.
+   * Applies the passage of time. The program closes the connection of a member that became dead by
+   * silence, which makes a new connection attempt possible. When the call itself comes late, since
+   * this process was paused, the pause is not held against the members.
    */
   public boolean tick(long now) {
     long pause = lastTick == Long.MIN_VALUE ? 0 : now - lastTick;
@@ -142,7 +143,7 @@
     List<Member> result = new ArrayList<>();
     for (Entry entry : entries.values()) {
       MemberState state = entry.visibleState();
-      if (state == MemberState.DEAD && now >= entry.redialAt) {
+      if (state == MemberState.DEAD && !entry.connected && now >= entry.redialAt) {
         state = MemberState.PROPOSED;
       }
       if (state != MemberState.DEAD && state != MemberState.LEAVING) {
