--- a/core/src/main/java/org/oriolewell/core/admission/Admission.java
+++ b/core/src/main/java/org/oriolewell/core/admission/Admission.java
@@ -110,11 +110,9 @@
   }
 
   @Override
-  public void canceled(T call) {
+  public boolean canceled(T call) {
     Queued<T> item = waiting.remove(call);
-    if (item != null) {
-      item.queue().firm.remove(item.queue(), item);
-    }
+    return item != null && item.queue().firm.remove(item.queue(), item);
   }
 
   @Override
--- a/core/src/main/java/org/oriolewell/core/admission/AdmissionPolicy.java
+++ b/core/src/main/java/org/oriolewell/core/admission/AdmissionPolicy.java
@@ -15,8 +15,8 @@
   /** Records that a started call ended and returns what to do now. */
   List<Verdict<T>> finished(T call, Ending ending, long now);
 
-  /** Forgets a waiting call; does nothing for another one. */
-  void canceled(T call);
+  /** Forgets a waiting call; returns false, and does nothing, if the call is not waiting. */
+  boolean canceled(T call);
 
   /** Applies the passage of time: refuses waiting calls that can't finish any more. */
   List<Verdict<T>> tick(long now);
--- a/core/src/main/java/org/oriolewell/core/admission/FifoAdmission.java
+++ b/core/src/main/java/org/oriolewell/core/admission/FifoAdmission.java
@@ -53,8 +53,8 @@
   }
 
   @Override
-  public void canceled(T call) {
-    waiting.removeIf(work -> work.call().equals(call));
+  public boolean canceled(T call) {
+    return waiting.removeIf(work -> work.call().equals(call));
   }
 
   @Override
--- a/core/src/main/java/org/oriolewell/core/retry/AttemptOutcome.java
+++ b/core/src/main/java/org/oriolewell/core/retry/AttemptOutcome.java
@@ -6,11 +6,14 @@
   ANSWERED,
   /** No connection could be opened, or the call was never granted: it did not run. */
   NOT_SENT,
-  /** The agent refused because it is overloaded; the call did not run. */
+  /**
+   * The agent refused because it is overloaded or can't finish the call in time behind its queue;
+   * the call did not run. Another agent's queue may be shorter.
+   */
   OVERLOADED,
   /** The agent is draining, or another agent owns the key's shard; the call did not run. */
   MOVED,
-  /** The call can't finish in its remaining time; another upstream would not help. */
+  /** The time that remains is too short for any upstream. */
   DEADLINE,
   /** The upstream failed before or while it ran the call. */
   FAILED,
