Route, plan deadlines and bound retries with the decisions of core

Cause: the entry's own chooser knew neither latency nor failures and connected to every agent. Change: Membership judges agents, Router chooses within its bounded subset, DeadlinePlanner reserves the time that later stages need, RetryBudget and RetryRule decide on second attempts. All agents of a pool with shards are dialed, since each may own one. Drain state in the configuration is applied. A stage gets all the time that later stages don't need, not its proportional part, because the part would refuse an early stage that is slow while there is slack. Conclusion: an agent that the host list puts in a wrong pool is used in the pool of its HELLO.

--- a/core/src/main/java/org/oriolewell/core/result/RequestEvent.java
+++ b/core/src/main/java/org/oriolewell/core/result/RequestEvent.java
@@ -13,6 +13,9 @@
   /** A call could not be sent since no upstream is available. */
   record Unsent(StageCall call) implements RequestEvent {}
 
+  /** A call was not sent since its stages can't finish in the time that remains. */
+  record Unreachable(StageCall call) implements RequestEvent {}
+
   /** An agent asks for permission to run a non-idempotent call. */
   record StartAsked(StageCall call) implements RequestEvent {}
 
--- a/core/src/main/java/org/oriolewell/core/result/RequestPlan.java
+++ b/core/src/main/java/org/oriolewell/core/result/RequestPlan.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.retry.Backoff;
 
 /**
  * What a request has to do.
@@ -41,9 +42,8 @@
   /**
    * Delays between attempts.
    *
-   * @param firstBackoff longest delay before the first retry; each further retry doubles it
-   * @param maxBackoff longest delay before any retry
+   * @param backoff delays before retries
    * @param noUpstreamWait how long a stage waits for an upstream when there is none
    */
-  public record Timing(Duration firstBackoff, Duration maxBackoff, Duration noUpstreamWait) {}
+  public record Timing(Backoff backoff, Duration noUpstreamWait) {}
 }
--- a/entry/src/main/java/org/oriolewell/entry/AgentDirectory.java
+++ b/entry/src/main/java/org/oriolewell/entry/AgentDirectory.java
@@ -2,11 +2,13 @@
 
 import com.google.common.base.CharMatcher;
 import com.google.common.base.Splitter;
-import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,124 +16,285 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.config.ConfigDocument;
+import org.oriolewell.core.config.PoolSpec;
+import org.oriolewell.core.config.UpstreamSpec;
+import org.oriolewell.core.membership.Member;
+import org.oriolewell.core.membership.MemberState;
+import org.oriolewell.core.membership.Membership;
+import org.oriolewell.core.membership.Proposal;
+import org.oriolewell.runtime.wire.Message;
 
 /**
- * All agents that this entry knows. The host list and the settings propose addresses; what an agent
- * says of itself decides its pool and zone, and only connected agents are members of a pool.
+ * All agents that this entry knows. The host list and the settings propose them; this entry's own
+ * connections decide their state, and what an agent says of itself decides its pool and zone.
+ *
+ * <p>An entry connects to the routers' bounded subsets, but to all agents of a pool with
+ * non-idempotent calls, since each of them may own a shard.
  */
-final class AgentDirectory implements AutoCloseable {
+final class AgentDirectory implements LinkEvents, AutoCloseable {
   private static final Splitter WORDS =
       Splitter.on(CharMatcher.whitespace().or(CharMatcher.anyOf(",;()'\"")));
 
-  private final String zone;
-  private final String region;
-  private final Set<InetSocketAddress> fixed = new HashSet<>();
-  private final Map<InetSocketAddress, AgentLink> links = new ConcurrentHashMap<>();
-  private final Function<InetSocketAddress, AgentLink> dialer;
-  private volatile Map<String, PoolMembers> pools = Map.of();
-  private volatile Map<String, AgentLink> owners = Map.of();
+  private final List<AgentProposal> fixed;
+  private final Settings settings;
+  private final ConfigSource config;
+  private final LinkContext context;
+  private final Membership membership;
+  private final Function<String, PoolRouter> routerMaker;
+  private final Map<String, AgentLink> links = new ConcurrentHashMap<>();
+  private final Map<String, PoolRouter> routers = new ConcurrentHashMap<>();
+  private final Map<String, AgentProposal> proposals = new HashMap<>();
+  private final Map<String, Instant> nextPing = new HashMap<>();
+  private final Instant start;
+  private volatile Map<String, List<AgentLink>> pools = Map.of();
+  private long configVersion;
+
+  /**
+   * Times of the directory.
+   *
+   * @param ping time between heartbeats
+   * @param dead time after which an agent that doesn't answer is dead
+   */
+  record Settings(Duration ping, Duration dead) {}
 
   /**
    * Creates a directory.
    *
-   * @param zone this entry's availability zone
-   * @param region this entry's region
-   * @param fixed addresses that are always dialed
-   * @param dialer makes a link to an address
+   * @param fixed agents that are known whatever the host list says
+   * @param routers makes the router of a pool
    */
   AgentDirectory(
-      String zone,
-      String region,
-      Collection<InetSocketAddress> fixed,
-      Function<InetSocketAddress, AgentLink> dialer) {
-    this.zone = zone;
-    this.region = region;
-    this.fixed.addAll(fixed);
-    this.dialer = dialer;
-    fixed.forEach(address -> links.computeIfAbsent(address, dialer));
+      List<AgentProposal> fixed,
+      Settings settings,
+      ConfigSource config,
+      LinkContext context,
+      Membership membership,
+      Function<String, PoolRouter> routers) {
+    this.fixed = List.copyOf(fixed);
+    this.settings = settings;
+    this.config = config;
+    this.context = context;
+    this.membership = membership;
+    this.routerMaker = routers;
+    this.start = context.clock().instant();
+    propose(List.of());
+  }
+
+  private long now() {
+    return Duration.between(start, context.clock().instant()).toNanos();
   }
 
   /**
-   * Takes the addresses that the host list proposes now. An agent that is missing from the list
-   * stays as long as it is connected, since the list lags and may be wrong.
-   *
-   * @param proposed whether the agent at each address is leaving
+   * Takes the agents that the host list proposes now. An agent that is missing from it stays as
+   * long as it is connected, since the list lags and may be wrong.
    */
-  synchronized void propose(Map<InetSocketAddress, Boolean> proposed) {
-    proposed.forEach((address, leaving) -> links.computeIfAbsent(address, dialer).leaving(leaving));
-    links
-        .entrySet()
-        .removeIf(
-            entry -> {
-              AgentLink link = entry.getValue();
-              boolean drop =
-                  !proposed.containsKey(entry.getKey())
-                      && !fixed.contains(entry.getKey())
-                      && link.peer().isEmpty();
-              if (drop) {
-                link.close();
-              }
-              return drop;
-            });
-  }
-
-  /** Groups the connected agents again after one of them changed. */
-  synchronized void refresh() {
-    Map<String, List<AgentLink>> byPool = new HashMap<>();
-    Map<String, AgentLink> byShard = new HashMap<>();
-    Map<String, Long> epochs = new HashMap<>();
-    for (AgentLink link : links.values()) {
-      AgentLink.Peer peer = link.peer().orElse(null);
-      if (peer == null) {
-        continue;
-      }
-      byPool.computeIfAbsent(peer.pool(), pool -> new ArrayList<>()).add(link);
-      peer.shards()
+  void propose(Collection<AgentProposal> listed) {
+    List<AgentLink> dropped = new ArrayList<>();
+    synchronized (this) {
+      Map<String, AgentProposal> current = new LinkedHashMap<>();
+      listed.forEach(proposal -> current.put(proposal.name(), proposal));
+      fixed.forEach(proposal -> current.put(proposal.name(), proposal));
+      membership.propose(current.values().stream().map(AgentDirectory::proposal).toList());
+      Set<String> known = new HashSet<>();
+      membership.members().forEach(member -> known.add(member.name()));
+      proposals.keySet().retainAll(known);
+      proposals.putAll(current);
+      links.values().stream().filter(link -> isObsolete(link, known)).forEach(dropped::add);
+      dropped.forEach(link -> links.remove(link.name(), link));
+      current
+          .values()
           .forEach(
-              (shard, epoch) -> {
-                if (epoch > epochs.getOrDefault(shard, Long.MIN_VALUE)) {
-                  epochs.put(shard, epoch);
-                  byShard.put(shard, link);
-                }
-              });
+              proposal ->
+                  links.computeIfAbsent(
+                      proposal.name(),
+                      name -> new AgentLink(name, proposal.address(), context, this)));
+      refresh();
     }
-    Map<String, PoolMembers> grouped = new HashMap<>();
-    byPool.forEach((pool, members) -> grouped.put(pool, group(members)));
-    pools = Map.copyOf(grouped);
-    owners = Map.copyOf(byShard);
-  }
-
-  private PoolMembers group(List<AgentLink> members) {
-    List<AgentLink> near = new ArrayList<>();
-    List<AgentLink> middle = new ArrayList<>();
-    List<AgentLink> far = new ArrayList<>();
-    for (AgentLink link : members) {
-      AgentLink.Peer peer = link.peer().orElse(null);
-      if (peer == null) {
+    dropped.forEach(AgentLink::close);
+  }
+
+  private static Proposal proposal(AgentProposal proposal) {
+    return new Proposal(proposal.name(), proposal.zone(), proposal.region(), proposal.leaving());
+  }
+
+  private boolean isObsolete(AgentLink link, Set<String> known) {
+    AgentProposal proposal = proposals.get(link.name());
+    return !known.contains(link.name())
+        || (proposal != null
+            && !proposal.address().equals(link.address())
+            && link.peer().isEmpty());
+  }
+
+  /** Applies the passage of time: dials, sends heartbeats, closes dead connections. */
+  void tick() {
+    List<Runnable> work = new ArrayList<>();
+    synchronized (this) {
+      long now = now();
+      boolean changed = membership.tick(now) | applyConfig();
+      if (changed) {
+        refresh();
+      }
+      Map<String, MemberState> states = new HashMap<>();
+      membership.members().forEach(member -> states.put(member.name(), member.state()));
+      for (AgentLink link : links.values()) {
+        attend(link, states.getOrDefault(link.name(), MemberState.DEAD), now, work);
+      }
+    }
+    work.forEach(Runnable::run);
+  }
+
+  private void attend(AgentLink link, MemberState state, long now, List<Runnable> work) {
+    boolean connected = link.peer().isPresent();
+    boolean wanted = isWanted(link, state);
+    if (connected && state == MemberState.DEAD || link.silentSince(settings.dead())) {
+      work.add(
+          () -> {
+            context.log().event(EntryEvent.AGENT_DEAD).with("agent", link.name()).write();
+            link.disconnect();
+          });
+    } else if (connected && !wanted && link.inFlight() == 0) {
+      work.add(link::disconnect);
+    } else if (connected) {
+      Instant due = nextPing.getOrDefault(link.name(), Instant.EPOCH);
+      Instant instant = context.clock().instant();
+      if (!instant.isBefore(due)) {
+        nextPing.put(link.name(), instant.plus(settings.ping()));
+        membership.probed(link.name(), now);
+        work.add(link::ping);
+      }
+    } else if (wanted && membership.mayDial(link.name(), now)) {
+      work.add(link::dial);
+    }
+  }
+
+  private boolean isWanted(AgentLink link, MemberState state) {
+    String pool = pool(link);
+    if (pool.isEmpty() || state == MemberState.LEAVING) {
+      return true;
+    }
+    PoolSpec spec = config.current().map(document -> document.pools().get(pool)).orElse(null);
+    return spec == null || spec.shards() > 0 || router(pool).subset().contains(link.name());
+  }
+
+  private String pool(AgentLink link) {
+    AgentProposal proposal = proposals.get(link.name());
+    return link.peer().map(AgentLink.Peer::pool).orElse(proposal == null ? "" : proposal.pool());
+  }
+
+  /** Takes the drain state of upstreams from a new configuration. */
+  private boolean applyConfig() {
+    ConfigDocument document = config.current().orElse(null);
+    if (document == null || document.version() == configVersion) {
+      return false;
+    }
+    configVersion = document.version();
+    for (String name : links.keySet()) {
+      UpstreamSpec upstream = document.upstreams().get(name);
+      membership.configuredDraining(name, upstream != null && upstream.draining());
+    }
+    return true;
+  }
+
+  /** Gives each pool's router its members again. */
+  private void refresh() {
+    Map<String, List<Member>> candidates = new HashMap<>();
+    Map<String, List<AgentLink>> grouped = new HashMap<>();
+    Set<String> up = new HashSet<>();
+    for (Member member : membership.candidates(now())) {
+      AgentLink link = links.get(member.name());
+      if (link == null) {
         continue;
       }
-      if (!peer.region().equals(region)) {
-        far.add(link);
-      } else if (!peer.zone().equals(zone)) {
-        middle.add(link);
-      } else {
-        near.add(link);
+      if (member.state() == MemberState.UP) {
+        up.add(member.name());
+      }
+      String pool = pool(link);
+      candidates.computeIfAbsent(pool, name -> new ArrayList<>()).add(asItSays(member, link));
+    }
+    for (AgentLink link : links.values()) {
+      link.usable(up.contains(link.name()));
+      grouped.computeIfAbsent(pool(link), name -> new ArrayList<>()).add(link);
+    }
+    grouped.keySet().forEach(this::router);
+    routers.forEach((pool, router) -> router.update(candidates.getOrDefault(pool, List.of())));
+    Map<String, List<AgentLink>> copy = new HashMap<>();
+    grouped.forEach((pool, members) -> copy.put(pool, List.copyOf(members)));
+    pools = Map.copyOf(copy);
+  }
+
+  private static Member asItSays(Member member, AgentLink link) {
+    return link.peer()
+        .map(
+            peer ->
+                new Member(
+                    member.name(),
+                    member.incarnation(),
+                    peer.zone(),
+                    peer.region(),
+                    member.state()))
+        .orElse(member);
+  }
+
+  @Override
+  public synchronized void connected(AgentLink link, String process, Message.Load load) {
+    if (links.get(link.name()) == link) {
+      membership.connected(link.name(), process, load.draining());
+      UpstreamSpec upstream =
+          config.current().map(document -> document.upstreams().get(link.name())).orElse(null);
+      membership.configuredDraining(link.name(), upstream != null && upstream.draining());
+      refresh();
+    }
+  }
+
+  @Override
+  public void heard(AgentLink link, Message.Load load) {
+    synchronized (this) {
+      if (links.get(link.name()) == link && membership.heard(link.name(), load.draining())) {
+        refresh();
       }
     }
-    return new PoolMembers(near, middle, far);
+    router(pool(link)).reported(link.name(), load.queued());
+  }
+
+  @Override
+  public synchronized void disconnected(AgentLink link) {
+    if (links.get(link.name()) == link) {
+      membership.disconnected(link.name(), now());
+      refresh();
+    }
+  }
+
+  /** Returns the router of a pool. */
+  PoolRouter router(String pool) {
+    return routers.computeIfAbsent(pool, routerMaker);
   }
 
-  /** Returns the connected agents of a pool. */
-  PoolMembers members(String pool) {
-    return pools.getOrDefault(pool, PoolMembers.NONE);
+  /** Returns the link to an upstream. */
+  Optional<AgentLink> link(@Nullable String name) {
+    return name == null ? Optional.empty() : Optional.ofNullable(links.get(name));
   }
 
-  /** Returns the connected agent that says it owns a shard, at the highest epoch. */
-  Optional<AgentLink> owner(String shard) {
-    return Optional.ofNullable(owners.get(shard));
+  /** Returns the known agents of a pool, connected or not. */
+  List<AgentLink> members(String pool) {
+    return pools.getOrDefault(pool, List.of());
+  }
+
+  /** Returns the connected agent of a pool that says it owns a shard, at the highest epoch. */
+  Optional<AgentLink> owner(String pool, String shard) {
+    AgentLink owner = null;
+    long highest = Long.MIN_VALUE;
+    for (AgentLink link : members(pool)) {
+      Long epoch = link.peer().map(peer -> peer.shards().get(shard)).orElse(null);
+      if (epoch != null && epoch > highest) {
+        owner = link;
+        highest = epoch;
+      }
+    }
+    return Optional.ofNullable(owner);
   }
 
-  /** Returns the connected agent whose process name or address occurs in a text as a word. */
+  /** Returns the connected agent whose name, process name or address is a word of a text. */
   Optional<AgentLink> named(@Nullable String text) {
     if (text == null) {
       return Optional.empty();
@@ -143,7 +306,9 @@
   private static boolean isNamed(AgentLink link, Set<String> words) {
     String address = link.address().getHostString() + ":" + link.address().getPort();
     return link.peer().isPresent()
-        && (words.contains(link.processName()) || words.contains(address));
+        && (words.contains(link.name())
+            || words.contains(link.processName())
+            || words.contains(address));
   }
 
   /** Returns all links. */
--- a/entry/src/main/java/org/oriolewell/entry/AgentLink.java
+++ b/entry/src/main/java/org/oriolewell/entry/AgentLink.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongFunction;
 import org.jspecify.annotations.Nullable;
@@ -15,31 +16,27 @@
 import org.oriolewell.runtime.wire.WireConnection;
 
 /**
- * The connection to one agent: dials it, keeps it alive with heartbeats, dials again after a
- * failure, and carries calls.
+ * The connection to one agent, with the calls that it carries. {@link AgentDirectory} decides when
+ * it is dialed and closed.
  *
  * <p>An answer to a call that was given up reaches nobody, and a START of such a call is denied.
  */
 final class AgentLink {
-  private static final Duration FIRST_REDIAL = Duration.ofMillis(100);
-  private static final Duration MAX_REDIAL = Duration.ofSeconds(2);
-
+  private final String name;
   private final InetSocketAddress address;
   private final LinkContext context;
+  private final LinkEvents events;
   private final AtomicLong streams = new AtomicLong();
+  private final AtomicLong pings = new AtomicLong();
+  private final AtomicBoolean dialing = new AtomicBoolean();
   private final Map<Long, CallListener> calls = new ConcurrentHashMap<>();
   private final Map<Long, CompletableFuture<Message.Settled>> settles = new ConcurrentHashMap<>();
 
   private volatile @Nullable Peer peer;
-  private volatile boolean leaving;
-  private volatile boolean closed;
   private volatile @Nullable WireConnection connection;
-  private boolean dialing;
-  private int failures;
-  private Instant nextDial;
-  private Instant nextPing = Instant.EPOCH;
-  private Instant lastPong = Instant.EPOCH;
-  private long pings;
+  private volatile Instant openedAt = Instant.EPOCH;
+  private volatile boolean usable;
+  private volatile boolean closed;
 
   /** An agent that said HELLO, as it last described itself. */
   record Peer(
@@ -68,10 +65,16 @@
     }
   }
 
-  AgentLink(InetSocketAddress address, LinkContext context) {
+  AgentLink(String name, InetSocketAddress address, LinkContext context, LinkEvents events) {
+    this.name = name;
     this.address = address;
     this.context = context;
-    this.nextDial = context.clock().instant();
+    this.events = events;
+  }
+
+  /** Returns the name of the agent's host, which is also the name of its upstream. */
+  String name() {
+    return name;
   }
 
   InetSocketAddress address() {
@@ -96,16 +99,12 @@
 
   /** Returns whether the agent takes new calls. */
   boolean usable() {
-    Peer known = peer;
-    return known != null && !leaving && !known.load().draining();
+    return usable && peer != null;
   }
 
-  /** Sets whether the platform says that the agent's host is about to leave. */
-  void leaving(boolean newValue) {
-    if (leaving != newValue) {
-      leaving = newValue;
-      context.changed().run();
-    }
+  /** Sets whether the agent is up and neither draining nor leaving. */
+  void usable(boolean newValue) {
+    usable = newValue;
   }
 
   /**
@@ -166,88 +165,55 @@
     return answer.whenComplete((value, failure) -> settles.remove(id));
   }
 
-  /** Dials, sends a heartbeat or finds the agent dead, as is due. Called often by one thread. */
-  void tick() {
-    Instant now = context.clock().instant();
-    WireConnection open;
-    boolean dead;
-    Message.@Nullable Ping ping = null;
-    synchronized (this) {
-      open = connection;
-      if (open == null) {
-        if (!dialing && !closed && !now.isBefore(nextDial)) {
-          dialing = true;
-        } else {
-          return;
-        }
-      }
-      dead = open != null && lastPong.plus(context.dead()).isBefore(now);
-      if (!now.isBefore(nextPing)) {
-        nextPing = now.plus(context.ping());
-        ping = new Message.Ping(++pings, context.configVersion().getAsLong(), Message.Load.NONE);
-      }
-    }
-    if (open == null) {
-      dial();
-    } else if (dead) {
-      context.log().event(EntryEvent.AGENT_DEAD).with("agent", address).write();
-      open.close();
-    } else if (ping != null) {
-      open.send(ping);
+  /** Opens a connection, unless one is open or being opened. */
+  void dial() {
+    if (closed || connection != null || !dialing.compareAndSet(false, true)) {
+      return;
     }
-  }
-
-  /** Allows the agent the whole dead time again, after this process itself was paused. */
-  synchronized void excusePause() {
-    lastPong = context.clock().instant();
-  }
-
-  private void dial() {
     context
         .client()
         .connect(address, new Listener())
         .whenComplete(
             (opened, failure) -> {
+              dialing.set(false);
               if (failure != null) {
-                synchronized (this) {
-                  redialLater();
-                }
+                events.disconnected(this);
               }
             });
   }
 
-  private void redialLater() {
-    if (!dialing) {
-      return;
-    }
-    dialing = false;
-    long longest =
-        Math.min(MAX_REDIAL.toMillis(), FIRST_REDIAL.toMillis() << Math.min(failures, 10));
-    failures++;
-    long delay = longest / 2 + context.random().nextLong(longest / 2 + 1);
-    nextDial = context.clock().instant().plusMillis(delay);
+  /** Returns whether a connection is open on which the agent hasn't said HELLO for some time. */
+  boolean silentSince(Duration time) {
+    return connection != null
+        && peer == null
+        && openedAt.plus(time).isBefore(context.clock().instant());
   }
 
-  /** Closes the connection for good; calls in flight are lost. */
-  void close() {
-    WireConnection open;
-    synchronized (this) {
-      closed = true;
-      open = connection;
-    }
+  /** Sends a heartbeat. */
+  void ping() {
+    long version = context.configVersion().getAsLong();
+    send(new Message.Ping(pings.incrementAndGet(), version, Message.Load.NONE));
+  }
+
+  /** Closes the connection; calls in flight are lost. */
+  void disconnect() {
+    WireConnection open = connection;
     if (open != null) {
       open.close();
     }
   }
 
+  /** Closes the connection for good. */
+  void close() {
+    closed = true;
+    disconnect();
+  }
+
   private final class Listener implements WireConnection.Listener {
     @Override
     public void onOpened(WireConnection opened) {
-      synchronized (AgentLink.this) {
-        connection = opened;
-        lastPong = context.clock().instant();
-        nextPing = lastPong;
-      }
+      openedAt = context.clock().instant();
+      connection = opened;
       opened.send(context.hello().get());
       if (closed) {
         opened.close();
@@ -299,16 +265,14 @@
       context
           .log()
           .event(EntryEvent.AGENT_REFUSED)
-          .with("agent", address)
+          .with("agent", name)
+          .with("address", address)
           .with("role", hello.role())
           .with("version", hello.version())
           .write();
       from.close();
       return;
     }
-    synchronized (this) {
-      failures = 0;
-    }
     peer =
         new Peer(
             from,
@@ -322,37 +286,28 @@
     context
         .log()
         .event(EntryEvent.AGENT_CONNECTED)
-        .with("agent", hello.process())
+        .with("agent", name)
+        .with("process", hello.process())
         .with("address", address)
         .with("pool", hello.pool())
         .with("zone", hello.zone())
         .write();
-    context.changed().run();
+    events.connected(this, hello.process(), hello.load());
   }
 
   private void ponged(Message.Pong pong) {
-    synchronized (this) {
-      lastPong = context.clock().instant();
-    }
     Peer known = peer;
-    if (known == null) {
-      return;
-    }
-    peer = known.with(pong);
-    if (!known.shards().equals(pong.shards())
-        || known.load().draining() != pong.load().draining()) {
-      context.changed().run();
+    if (known != null) {
+      peer = known.with(pong);
+      events.heard(this, pong.load());
     }
   }
 
   private void loaded(Message.Load load) {
     Peer known = peer;
-    if (known == null) {
-      return;
-    }
-    peer = known.with(load);
-    if (known.load().draining() != load.draining()) {
-      context.changed().run();
+    if (known != null) {
+      peer = known.with(load);
+      events.heard(this, load);
     }
   }
 
@@ -363,7 +318,7 @@
       context
           .log()
           .event(EntryEvent.STALE_MESSAGE)
-          .with("agent", address)
+          .with("agent", name)
           .with("stream", stream)
           .with("message", message.getClass().getSimpleName())
           .write();
@@ -374,36 +329,28 @@
   }
 
   private void lost(@Nullable Throwable cause) {
-    Peer known;
-    synchronized (this) {
-      connection = null;
-      dialing = true;
-      redialLater();
-      known = peer;
-      peer = null;
-    }
+    Peer known = peer;
+    peer = null;
+    connection = null;
     if (known != null) {
       context
           .log()
           .event(EntryEvent.AGENT_LOST)
-          .with("agent", known.process())
-          .with("address", address)
+          .with("agent", name)
+          .with("process", known.process())
           .with("reason", cause)
           .write();
     }
-    context.changed().run();
-    String name = known == null ? address.toString() : known.process();
+    events.disconnected(this);
+    String detail = "the connection to " + name + " was lost";
     for (Long stream : calls.keySet()) {
       CallListener listener = calls.remove(stream);
       if (listener != null) {
-        listener.onLost("the connection to " + name + " was lost");
+        listener.onLost(detail);
       }
     }
     settles
         .values()
-        .forEach(
-            waiting ->
-                waiting.completeExceptionally(
-                    new IllegalStateException("the connection to " + name + " was lost")));
+        .forEach(waiting -> waiting.completeExceptionally(new IllegalStateException(detail)));
   }
 }
--- a/entry/src/main/java/org/oriolewell/entry/Entry.java
+++ b/entry/src/main/java/org/oriolewell/entry/Entry.java
@@ -7,7 +7,6 @@
 import java.net.URI;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -16,10 +15,17 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.HttpClient;
-import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.call.IdempotencyKey;
 import org.oriolewell.core.config.ConfigDocument;
+import org.oriolewell.core.membership.Membership;
+import org.oriolewell.core.membership.MembershipSettings;
 import org.oriolewell.core.result.RequestPlan;
+import org.oriolewell.core.retry.Backoff;
+import org.oriolewell.core.retry.RetryBudget;
+import org.oriolewell.core.retry.RetryBudgetSettings;
+import org.oriolewell.core.routing.Place;
+import org.oriolewell.core.routing.Router;
+import org.oriolewell.core.routing.RouterSettings;
 import org.oriolewell.runtime.http.JsonServer;
 import org.oriolewell.runtime.http.OperatorsPort;
 import org.oriolewell.runtime.log.EventLog;
@@ -34,6 +40,10 @@
 /** A running entry with its ports, links and timers. Closing it is a planned stop. */
 final class Entry implements AutoCloseable {
   private static final int OPERATORS_BODY_LIMIT = 1 << 20;
+  private static final Duration MAX_REDIAL = Duration.ofSeconds(2);
+
+  /** Short enough to find a dead agent within a second of its last sign of life. */
+  private static final Duration TICK = Duration.ofMillis(50);
 
   private final Settings settings;
   private final EventLog log = EventLog.of("entry", InstantSource.system());
@@ -119,64 +129,69 @@
   }
 
   private AgentDirectory directory() {
-    DirectoryRefresh refresh = new DirectoryRefresh();
     LinkContext context =
         new LinkContext(
             wire,
             this::hello,
             this::configVersion,
-            value(EntrySettings.PING),
-            value(EntrySettings.DEAD),
             clock,
-            random,
             (connection, message) -> {},
-            refresh,
             metrics,
             log);
-    List<InetSocketAddress> fixed =
-        value(EntrySettings.AGENTS).stream().map(Entry::agentAddress).toList();
-    AgentDirectory directory =
-        new AgentDirectory(
-            value(EntrySettings.ZONE),
-            value(EntrySettings.REGION),
-            fixed,
-            address -> new AgentLink(address, context));
-    refresh.directory = directory;
-    return directory;
+    Duration ping = value(EntrySettings.PING);
+    Duration dead = value(EntrySettings.DEAD);
+    MembershipSettings times =
+        new MembershipSettings(
+            ping, dead.minus(ping), value(EntrySettings.FIRST_REDIAL), MAX_REDIAL);
+    return new AgentDirectory(
+        value(EntrySettings.AGENTS).stream().map(Entry::staticAgent).toList(),
+        new AgentDirectory.Settings(ping, dead),
+        config,
+        context,
+        Membership.create(times, random),
+        this::poolRouter);
   }
 
-  /** Breaks the cycle between the directory and its links. */
-  private static final class DirectoryRefresh implements Runnable {
-    private volatile @Nullable AgentDirectory directory;
-
-    @Override
-    public void run() {
-      AgentDirectory known = directory;
-      if (known != null) {
-        known.refresh();
-      }
-    }
+  private PoolRouter poolRouter(String pool) {
+    Place here = new Place(value(EntrySettings.ZONE), value(EntrySettings.REGION));
+    return new PoolRouter(
+        Router.create(pool, RouterSettings.defaults(), here, process, random), clock);
   }
 
-  private static InetSocketAddress agentAddress(String text) {
-    HostAndPort address = HostAndPort.fromString(text);
-    return new InetSocketAddress(InetAddresses.forString(address.getHost()), address.getPort());
+  /** Reads an agent of the settings, {@code IP:PORT} or {@code NAME@IP:PORT}. */
+  private static AgentProposal staticAgent(String text) {
+    int at = text.indexOf('@');
+    HostAndPort address = HostAndPort.fromString(text.substring(at + 1));
+    return new AgentProposal(
+        at < 0 ? text : text.substring(0, at),
+        new InetSocketAddress(InetAddresses.forString(address.getHost()), address.getPort()),
+        "",
+        "",
+        "",
+        false);
   }
 
   private CallersApi callersApi() {
-    Router router =
-        new Router(agents, new TwoChoices(random), value(EntrySettings.LOG_SAMPLING), random, log);
+    CallRouter router = new CallRouter(agents, value(EntrySettings.LOG_SAMPLING), random, log);
+    RetryBudgetSettings retries =
+        new RetryBudgetSettings(
+            value(EntrySettings.RETRY_RATIO),
+            value(EntrySettings.RETRY_RATE),
+            value(EntrySettings.RETRY_BURST),
+            value(EntrySettings.RETRY_RATE) / 4,
+            value(EntrySettings.RETRY_BURST) * 0.4);
     RunContext context =
         new RunContext(
             router,
-            new RetryBudgets(value(EntrySettings.RETRY_RATIO), value(EntrySettings.RETRY_BURST)),
+            agents,
+            new StagePlanner(),
+            new RetryBudgets(RetryBudget.create(retries), clock),
             timers,
             clock,
             () -> IdempotencyKey.generate(wall.instant(), random).text(),
             random,
             new RequestPlan.Timing(
-                value(EntrySettings.FIRST_BACKOFF),
-                value(EntrySettings.MAX_BACKOFF),
+                new Backoff(value(EntrySettings.FIRST_BACKOFF), value(EntrySettings.MAX_BACKOFF)),
                 value(EntrySettings.NO_UPSTREAM_WAIT)),
             value(EntrySettings.STREAM_CREDITS),
             metrics,
@@ -195,8 +210,7 @@
   }
 
   private void startHeartbeats() {
-    Duration tick = value(EntrySettings.PING).dividedBy(4);
-    every(tick, new Heartbeats(agents::links, clock, value(EntrySettings.DEAD).dividedBy(2)));
+    every(TICK, agents::tick);
   }
 
   private void startHostList() {
@@ -277,6 +291,7 @@
                 Map.<String, Object>of(
                     "address", address,
                     "connected", true,
+                    "name", link.name(),
                     "process", peer.process(),
                     "pool", peer.pool(),
                     "zone", peer.zone(),
--- a/entry/src/main/java/org/oriolewell/entry/EntrySettings.java
+++ b/entry/src/main/java/org/oriolewell/entry/EntrySettings.java
@@ -41,13 +41,16 @@
   static final Setting<Duration> HOST_LIST_TIMEOUT =
       millis("hosts.timeout-ms", 1000, 10, 60_000, "Time after which a host list call has failed.");
   static final Setting<List<String>> AGENTS =
-      Setting.strings("agents.static", List.of(), "Agents as IP:PORT, besides the host list.");
+      Setting.strings(
+          "agents.static", List.of(), "Agents as NAME@IP:PORT or IP:PORT, besides the host list.");
   static final Setting<Duration> PING =
       millis("agents.ping-ms", 250, 10, 10_000, "Time between heartbeats.");
   static final Setting<Duration> DEAD =
       millis("agents.dead-ms", 750, 30, 60_000, "Time without PONG after which an agent is dead.");
   static final Setting<Duration> CONNECT_TIMEOUT =
       millis("agents.connect-timeout-ms", 500, 10, 60_000, "Longest time to open a connection.");
+  static final Setting<Duration> FIRST_REDIAL =
+      millis("agents.first-redial-ms", 200, 1, 60_000, "Longest wait before the first redial.");
   static final Setting<Integer> FRAME_LIMIT =
       Setting.integer(
           "agents.frame-limit-bytes", 1 << 20, 1024, 64 << 20, "Largest frame, in bytes.");
@@ -59,9 +62,17 @@
       millis(
           "retries.no-upstream-wait-ms", 300, 0, 60_000, "How long a stage waits for an upstream.");
   static final Setting<Double> RETRY_RATIO =
-      Setting.number("retries.ratio", 0.1, 0, 1, "Retries that each request adds to the budget.");
+      Setting.number("retries.ratio", 0.1, 0, 1, "Second attempts for each first attempt.");
+  static final Setting<Double> RETRY_RATE =
+      Setting.number(
+          "retries.per-second", 2, 0, 10_000, "Second attempts per second allowed in any case.");
   static final Setting<Integer> RETRY_BURST =
-      Setting.integer("retries.burst", 100, 0, 1_000_000, "Most retries that the budget holds.");
+      Setting.integer(
+          "retries.burst",
+          50,
+          0,
+          1_000_000,
+          "Most second attempts that the process may save; a pipeline may save two fifths.");
   static final Setting<Integer> STREAM_CREDITS =
       Setting.integer(
           "streams.credits", 64, 1, 10_000, "Frames that an agent may send ahead of the caller.");
@@ -109,11 +120,13 @@
               PING,
               DEAD,
               CONNECT_TIMEOUT,
+              FIRST_REDIAL,
               FRAME_LIMIT,
               FIRST_BACKOFF,
               MAX_BACKOFF,
               NO_UPSTREAM_WAIT,
               RETRY_RATIO,
+              RETRY_RATE,
               RETRY_BURST,
               STREAM_CREDITS,
               STREAM_GRACE,
--- a/entry/src/main/java/org/oriolewell/entry/HostListPoller.java
+++ b/entry/src/main/java/org/oriolewell/entry/HostListPoller.java
@@ -2,10 +2,9 @@
 
 import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -19,7 +18,7 @@
  */
 final class HostListPoller {
   private final HostList hosts;
-  private final Consumer<Map<InetSocketAddress, Boolean>> proposals;
+  private final Consumer<List<AgentProposal>> proposals;
   private final EventLog log;
   private final AtomicBoolean running = new AtomicBoolean();
   private final Set<String> reported = new HashSet<>();
@@ -28,10 +27,9 @@
   /**
    * Creates a poller.
    *
-   * @param proposals receives the addresses of agents and whether each is leaving
+   * @param proposals receives the agents of each list
    */
-  HostListPoller(
-      HostList hosts, Consumer<Map<InetSocketAddress, Boolean>> proposals, EventLog log) {
+  HostListPoller(HostList hosts, Consumer<List<AgentProposal>> proposals, EventLog log) {
     this.hosts = hosts;
     this.proposals = proposals;
     this.log = log;
@@ -49,7 +47,7 @@
     try {
       if (failure == null) {
         available = true;
-        proposals.accept(addresses(list));
+        proposals.accept(agents(list));
       } else if (available) {
         available = false;
         log.event(RuntimeEvent.HOST_LIST_UNAVAILABLE).cause(failure).write();
@@ -59,23 +57,29 @@
     }
   }
 
-  private Map<InetSocketAddress, Boolean> addresses(List<HostList.Host> list) {
-    Map<InetSocketAddress, Boolean> addresses = new HashMap<>();
+  private List<AgentProposal> agents(List<HostList.Host> list) {
+    List<AgentProposal> agents = new ArrayList<>();
     for (HostList.Host host : list) {
       if (!host.kind().equals("agent")) {
         continue;
       }
-      if (!InetAddresses.isInetAddress(host.address())
+      if (host.host().isEmpty()
+          || !InetAddresses.isInetAddress(host.address())
           || host.port() <= 0
           || host.port() > 65_535) {
         report(host);
         continue;
       }
-      InetSocketAddress address =
-          new InetSocketAddress(InetAddresses.forString(host.address()), host.port());
-      addresses.merge(address, host.state() == HostList.State.LEAVING, Boolean::logicalAnd);
+      agents.add(
+          new AgentProposal(
+              host.host(),
+              new InetSocketAddress(InetAddresses.forString(host.address()), host.port()),
+              host.pool(),
+              host.zone(),
+              host.region(),
+              host.state() == HostList.State.LEAVING));
     }
-    return addresses;
+    return agents;
   }
 
   private void report(HostList.Host host) {
--- a/entry/src/main/java/org/oriolewell/entry/OwnerChooser.java
+++ b/entry/src/main/java/org/oriolewell/entry/OwnerChooser.java
@@ -2,7 +2,6 @@
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -15,6 +14,9 @@
 final class OwnerChooser {
   private final AgentDirectory directory;
 
+  /** A chosen agent and the reason. */
+  record Owner(AgentLink link, String reason) {}
+
   OwnerChooser(AgentDirectory directory) {
     this.directory = directory;
   }
@@ -23,46 +25,41 @@
    * Chooses an agent.
    *
    * @param hint text in which another agent named the owner; null if none did
-   * @param avoid process names that refused or lost this call
+   * @param avoid names of the agents that refused or lost this call
    */
-  Optional<Chooser.Choice> choose(
-      PoolMembers members, String shard, @Nullable String hint, Set<String> avoid) {
+  Optional<Owner> choose(String pool, String shard, @Nullable String hint, Set<String> avoid) {
     Optional<AgentLink> named = directory.named(hint).filter(AgentLink::usable);
     if (named.isPresent()) {
-      return named.map(link -> new Chooser.Choice(link, shard, "named as the owner"));
+      return named.map(link -> new Owner(link, "named as the owner"));
     }
     Optional<AgentLink> owner =
-        directory.owner(shard).filter(link -> link.usable() && !avoid.contains(link.processName()));
+        directory.owner(pool, shard).filter(link -> link.usable() && !avoid.contains(link.name()));
     if (owner.isPresent()) {
-      return owner.map(link -> new Chooser.Choice(link, shard, "owns the shard"));
+      return owner.map(link -> new Owner(link, "owns the shard"));
     }
-    AgentLink first = first(members, shard, avoid);
+    AgentLink first = first(pool, shard, avoid);
     if (first == null) {
-      first = first(members, shard, Set.of());
+      first = first(pool, shard, Set.of());
     }
-    return Optional.ofNullable(first)
-        .map(link -> new Chooser.Choice(link, shard, "first in rendezvous order"));
+    return Optional.ofNullable(first).map(link -> new Owner(link, "first in rendezvous order"));
   }
 
-  private static @Nullable AgentLink first(PoolMembers members, String shard, Set<String> avoid) {
+  private @Nullable AgentLink first(String pool, String shard, Set<String> avoid) {
     AgentLink first = null;
     long highest = Long.MIN_VALUE;
-    for (List<AgentLink> group : members.groups()) {
-      for (AgentLink link : group) {
-        String process = link.processName();
-        long rank = rank(shard, process);
-        if (link.usable() && !avoid.contains(process) && (first == null || rank > highest)) {
-          first = link;
-          highest = rank;
-        }
+    for (AgentLink link : directory.members(pool)) {
+      long rank = rank(shard, link.name());
+      if (link.usable() && !avoid.contains(link.name()) && (first == null || rank > highest)) {
+        first = link;
+        highest = rank;
       }
     }
     return first;
   }
 
-  private static long rank(String shard, String process) {
+  private static long rank(String shard, String name) {
     return Hashing.farmHashFingerprint64()
-        .hashString(shard + ' ' + process, StandardCharsets.UTF_8)
+        .hashString(shard + ' ' + name, StandardCharsets.UTF_8)
         .asLong();
   }
 }
--- a/entry/src/main/java/org/oriolewell/entry/RequestRun.java
+++ b/entry/src/main/java/org/oriolewell/entry/RequestRun.java
@@ -32,6 +32,7 @@
 import org.oriolewell.core.result.RequestMachine;
 import org.oriolewell.core.result.RequestPlan;
 import org.oriolewell.core.result.StageCall;
+import org.oriolewell.core.routing.CallResult;
 import org.oriolewell.runtime.log.RuntimeEvent;
 import org.oriolewell.runtime.wire.Message;
 
@@ -66,7 +67,28 @@
   private int owedCredits;
 
   /** A call that was sent. */
-  private record OpenCall(AgentLink link, long stream) {}
+  private static final class OpenCall {
+    final AgentLink link;
+    final long stream;
+    final PoolRouter router;
+    final Instant sentAt;
+    @Nullable Instant firstTokenAt;
+
+    OpenCall(AgentLink link, long stream, PoolRouter router, Instant sentAt) {
+      this.link = link;
+      this.stream = stream;
+      this.router = router;
+      this.sentAt = sentAt;
+      router.started(link.name());
+    }
+
+    /** Tells the router how the call ended. */
+    void finish(CallResult result, Instant now) {
+      Instant first = firstTokenAt;
+      long nanos = Duration.between(sentAt, first == null ? now : first).toNanos();
+      router.finished(link.name(), result, nanos);
+    }
+  }
 
   RequestRun(String id, CallerRequest request, RunContext context) {
     this.id = id;
@@ -83,7 +105,7 @@
     machine =
         RequestMachine.of(
             plan,
-            context.budgets().forRequest(request.pipeline()),
+            context.budgets().forRequest(request.pipeline(), request.spec().stages().size()),
             context.keys(),
             context.random());
   }
@@ -162,10 +184,10 @@
 
   private void apply(RequestEvent event) {
     List<RequestAction> actions = machine.on(event, context.clock().instant());
-    actions.forEach(this::perform);
+    actions.forEach(action -> perform(action, event));
   }
 
-  private void perform(RequestAction action) {
+  private void perform(RequestAction action, RequestEvent cause) {
     if (action instanceof RequestAction.Dispatch a) {
       dispatch(a);
     } else if (action instanceof RequestAction.Wait a) {
@@ -176,14 +198,11 @@
               a.delay().toNanos(),
               TimeUnit.NANOSECONDS);
     } else if (action instanceof RequestAction.Grant a) {
-      sent(a.call()).ifPresent(to -> to.link().send(new Message.Grant(to.stream())));
+      sent(a.call()).ifPresent(to -> to.link.send(new Message.Grant(to.stream)));
     } else if (action instanceof RequestAction.Deny a) {
-      sent(a.call()).ifPresent(to -> to.link().send(new Message.Deny(to.stream())));
+      sent(a.call()).ifPresent(to -> to.link.send(new Message.Deny(to.stream)));
     } else if (action instanceof RequestAction.Cancel a) {
-      OpenCall open = calls.remove(a.call());
-      if (open != null) {
-        open.link().cancel(open.stream());
-      }
+      cancel(a.call(), cause);
     } else if (action instanceof RequestAction.Emit a) {
       emit(a);
     } else if (action instanceof RequestAction.Accept) {
@@ -214,21 +233,36 @@
     }
     unreadFrames.clear();
     owedCredits = 0;
-    AgentLink link = context.router().route(dispatch, request).orElse(null);
+    Duration remaining = request.deadline().minus(Duration.between(arrival, now()));
+    StagePlanner.Plan plan = context.planner().plan(request, call.stage(), remaining);
+    if (!plan.reachable() && mayStillNotRun(call.stage())) {
+      apply(new RequestEvent.Unreachable(call));
+      return;
+    }
+    byte[] payload = payload();
+    AgentLink link = context.router().route(dispatch, request, payload.length).orElse(null);
     if (link == null) {
       apply(new RequestEvent.Unsent(call));
     } else {
-      send(dispatch, link);
+      send(dispatch, link, payload, plan.time());
     }
   }
 
-  private void send(RequestAction.Dispatch dispatch, AgentLink link) {
+  private Instant now() {
+    return context.clock().instant();
+  }
+
+  /** Returns whether no non-idempotent stage comes before a stage. */
+  private boolean mayStillNotRun(int stage) {
+    return request.spec().stages().subList(0, stage).stream().allMatch(StageSpec::idempotent);
+  }
+
+  private void send(
+      RequestAction.Dispatch dispatch, AgentLink link, byte[] payload, Duration time) {
     StageCall call = dispatch.call();
-    final String upstream = link.processName();
     OptionalLong stream;
     try {
-      byte[] payload = payload();
-      stream = link.call(number -> message(dispatch, number, payload), new Listener(call));
+      stream = link.call(number -> message(dispatch, number, payload, time), new Listener(call));
     } catch (IllegalArgumentException e) {
       apply(new RequestEvent.Refused(call, tooLarge(e)));
       return;
@@ -237,10 +271,35 @@
       apply(new RequestEvent.Unsent(call));
       return;
     }
-    OpenCall open = new OpenCall(link, stream.getAsLong());
+    PoolRouter router = context.agents().router(stage(call).pool());
+    OpenCall open = new OpenCall(link, stream.getAsLong(), router, now());
     sent.put(call, open);
     calls.put(call, open);
-    apply(new RequestEvent.Sent(call, upstream));
+    apply(new RequestEvent.Sent(call, link.name()));
+  }
+
+  /** Cancels a call; one that has sent nothing until the deadline counts as a failure. */
+  private void cancel(StageCall call, RequestEvent cause) {
+    OpenCall open = calls.remove(call);
+    if (open == null) {
+      return;
+    }
+    open.link.cancel(open.stream);
+    boolean blameless =
+        cause instanceof RequestEvent.CallerLeft
+            || (cause instanceof RequestEvent.DeadlinePassed && open.firstTokenAt != null);
+    open.finish(blameless ? CallResult.CANCELED : CallResult.FAILED, now());
+  }
+
+  /** Notes that a call ended, unless that is noted already. */
+  private void ended(StageCall call, CallResult result) {
+    OpenCall open = calls.remove(call);
+    if (open != null) {
+      open.finish(result, now());
+      if (result == CallResult.ANSWERED) {
+        context.planner().observed(request, call.stage(), Duration.between(open.sentAt, now()));
+      }
+    }
   }
 
   private static Refusal tooLarge(IllegalArgumentException cause) {
@@ -251,10 +310,10 @@
         0);
   }
 
-  private Message.Call message(RequestAction.Dispatch dispatch, long stream, byte[] payload) {
+  private Message.Call message(
+      RequestAction.Dispatch dispatch, long stream, byte[] payload, Duration time) {
     StageSpec stage = stage(dispatch.call());
     boolean streaming = stage.model() != null;
-    Duration spent = Duration.between(arrival, context.clock().instant());
     return new Message.Call(
         stream,
         id,
@@ -264,7 +323,7 @@
         request.firm(),
         request.pipeline(),
         request.priority(),
-        Math.max(1, request.deadline().minus(spent).toMillis()),
+        Math.max(1, time.toMillis()),
         stage.operation(),
         stage.idempotent(),
         dispatch.key(),
@@ -311,13 +370,12 @@
       return;
     }
     for (OpenCall open : calls.values()) {
-      open.link().send(new Message.Credit(open.stream(), owedCredits));
+      open.link.send(new Message.Credit(open.stream, owedCredits));
     }
     owedCredits = 0;
   }
 
   private void accept() {
-    calls.clear();
     output = received;
     text.setLength(0);
     readPosition = 0;
@@ -347,7 +405,10 @@
     if (timer != null) {
       timer.cancel(false);
     }
-    calls.values().forEach(open -> open.link().forget(open.stream()));
+    for (OpenCall open : calls.values()) {
+      open.link.forget(open.stream);
+      open.finish(CallResult.FAILED, now());
+    }
     calls.clear();
     context
         .metrics()
@@ -385,7 +446,7 @@
     public void onLost(String detail) {
       submit(
           () -> {
-            calls.remove(call);
+            ended(call, CallResult.FAILED);
             apply(new RequestEvent.Lost(call, detail));
           });
     }
@@ -396,19 +457,21 @@
       } else if (message instanceof Message.Tokens m) {
         tokens(m);
       } else if (message instanceof Message.Result m) {
-        calls.remove(call);
         result(m);
       } else if (message instanceof Message.Refused m) {
-        calls.remove(call);
+        ended(call, callResult(m.kind()));
         apply(new RequestEvent.Refused(call, refusal(m)));
       }
     }
 
     private void tokens(Message.Tokens frame) {
       OpenCall open = calls.get(call);
+      if (open != null && open.firstTokenAt == null) {
+        open.firstTokenAt = now();
+      }
       if (open != null && unreadFrames.size() + owedCredits >= context.credits()) {
-        calls.remove(call);
-        open.link().cancel(open.stream());
+        open.link.cancel(open.stream);
+        ended(call, CallResult.FAILED);
         apply(new RequestEvent.Garbled(call, "the agent sent more frames than it had credit for"));
         return;
       }
@@ -418,8 +481,10 @@
     private void result(Message.Result result) {
       try {
         received = stage(call).model() != null ? generated(result) : parsed(result.payload());
+        ended(call, CallResult.ANSWERED);
         apply(new RequestEvent.Answered(call, result.count()));
       } catch (IOException e) {
+        ended(call, CallResult.FAILED);
         apply(new RequestEvent.Garbled(call, "the agent's answer is not JSON; check its upstream"));
       }
     }
@@ -437,6 +502,15 @@
     }
   }
 
+  private static CallResult callResult(Message.RefusalKind kind) {
+    return switch (kind) {
+      case OVERLOADED, DEADLINE_UNREACHABLE, DEADLINE_EXCEEDED -> CallResult.REFUSED;
+      case UPSTREAM_FAILED, OUTCOME_UNKNOWN, INVALID -> CallResult.FAILED;
+      case STOPPING, NOT_OWNER, KEY_CONFLICT, KEY_TIME, STORE_UNAVAILABLE, CANCELED ->
+          CallResult.CANCELED;
+    };
+  }
+
   private static Refusal refusal(Message.Refused refused) {
     return new Refusal(
         Refusal.Kind.valueOf(refused.kind().name()),
--- a/entry/src/main/java/org/oriolewell/entry/RetryBudgets.java
+++ b/entry/src/main/java/org/oriolewell/entry/RetryBudgets.java
@@ -1,47 +1,36 @@
 package org.oriolewell.entry;
 
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
-import org.oriolewell.core.result.RetryBudget;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.function.BooleanSupplier;
+import org.oriolewell.core.retry.RetryBudget;
 
-/** A token bucket of retries for each pipeline; each request adds a part of a retry. */
+/** The {@link RetryBudget} of this entry, for use by several threads. */
 final class RetryBudgets {
-  private final double ratio;
-  private final double burst;
-  private final Map<String, Bucket> buckets = new ConcurrentHashMap<>();
+  private final RetryBudget budget;
+  private final InstantSource clock;
+  private final Instant start;
 
-  /**
-   * Creates the budgets, each full.
-   *
-   * @param ratio retries that each request adds
-   * @param burst most retries that a budget holds
-   */
-  RetryBudgets(double ratio, double burst) {
-    this.ratio = ratio;
-    this.burst = burst;
+  RetryBudgets(RetryBudget budget, InstantSource clock) {
+    this.budget = budget;
+    this.clock = clock;
+    this.start = clock.instant();
   }
 
-  /** Adds a request's part to its pipeline's budget and returns the budget. */
-  RetryBudget forRequest(String pipeline) {
-    Bucket bucket = buckets.computeIfAbsent(pipeline, name -> new Bucket());
-    bucket.add();
-    return bucket;
-  }
-
-  private final class Bucket implements RetryBudget {
-    private double tokens = burst;
-
-    synchronized void add() {
-      tokens = Math.min(burst, tokens + ratio);
+  /** Notes a request's first attempts and returns what takes a second one from the budget. */
+  BooleanSupplier forRequest(String pipeline, int stages) {
+    synchronized (budget) {
+      for (int i = 0; i < stages; i++) {
+        budget.attempted(pipeline);
+      }
     }
+    return () -> tryTake(pipeline);
+  }
 
-    @Override
-    public synchronized boolean tryTake() {
-      if (tokens < 1) {
-        return false;
-      }
-      tokens--;
-      return true;
+  private boolean tryTake(String pipeline) {
+    synchronized (budget) {
+      return budget.tryTake(pipeline, Duration.between(start, clock.instant()).toNanos());
     }
   }
 }
--- a/entry/src/main/java/org/oriolewell/entry/RunContext.java
+++ b/entry/src/main/java/org/oriolewell/entry/RunContext.java
@@ -11,6 +11,8 @@
  * What all requests share.
  *
  * @param router finds agents
+ * @param agents routers of the pools, which learn how calls ended
+ * @param planner splits deadlines
  * @param budgets retry budgets
  * @param timers runs deadlines and delays
  * @param clock clock that never goes back
@@ -20,7 +22,9 @@
  * @param credits frames that an agent may send ahead
  */
 record RunContext(
-    Router router,
+    CallRouter router,
+    AgentDirectory agents,
+    StagePlanner planner,
     RetryBudgets budgets,
     ScheduledExecutorService timers,
     InstantSource clock,
--- a/entry/src/main/java/org/oriolewell/entry/Settler.java
+++ b/entry/src/main/java/org/oriolewell/entry/Settler.java
@@ -113,14 +113,13 @@
     if (answer.isDone()) {
       return;
     }
-    Optional<Chooser.Choice> choice =
-        owners.choose(directory.members(question.spec().pool()), question.shard(), hint, avoid);
-    if (choice.isEmpty()) {
+    Optional<OwnerChooser.Owner> owner =
+        owners.choose(question.spec().pool(), question.shard(), hint, avoid);
+    if (owner.isEmpty()) {
       later(question, answer);
       return;
     }
-    AgentLink link = choice.get().link();
-    String process = link.processName();
+    AgentLink link = owner.get().link();
     link.settle(question::message)
         .whenComplete(
             (settled, failure) -> {
@@ -128,7 +127,7 @@
                 later(question, answer);
               } else if (settled.outcome() == Message.Outcome.UNKNOWN
                   && directory.named(settled.detail()).filter(other -> other != link).isPresent()) {
-                redirect(question, hint, settled.detail(), process, answer);
+                redirect(question, hint, settled.detail(), link.name(), answer);
               } else {
                 answer.complete(settled);
               }
@@ -140,10 +139,10 @@
       Question question,
       @Nullable String earlier,
       String owner,
-      String process,
+      String asked,
       CompletableFuture<Message.Settled> answer) {
     timers.schedule(
-        () -> attempt(question, owner, Set.of(process), answer),
+        () -> attempt(question, owner, Set.of(asked), answer),
         earlier == null ? 0 : RETRY.toMillis(),
         TimeUnit.MILLISECONDS);
   }
