--- a/core/src/main/java/org/oriolewell/core/config/ConfigDocument.java
+++ b/core/src/main/java/org/oriolewell/core/config/ConfigDocument.java
@@ -1,7 +1,10 @@
 package org.oriolewell.core.config;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.config.UpstreamSpec.ModelSpec;
 
 /**
  * The whole configuration at one version.
@@ -42,4 +45,22 @@
     return new ConfigDocument(
         SCHEMA, 0, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), List.of());
   }
+
+  /**
+   * Returns what a host should be like: its own settings over those of its pool. A model that the
+   * host names itself replaces all entries of this model in the pool.
+   */
+  public UpstreamSpec wanted(String host, String poolName) {
+    UpstreamSpec own = upstreams.getOrDefault(host, UpstreamSpec.DEFAULT);
+    PoolSpec pool = pools.get(poolName);
+    if (pool == null) {
+      return own;
+    }
+    List<ModelSpec> models = new ArrayList<>(own.models());
+    pool.models().stream()
+        .filter(model -> own.models().stream().noneMatch(o -> o.model().equals(model.model())))
+        .forEach(models::add);
+    @Nullable String role = own.role() == null ? pool.role() : own.role();
+    return new UpstreamSpec(own.draining(), role, models);
+  }
 }
--- a/core/src/main/java/org/oriolewell/core/config/UpstreamSpec.java
+++ b/core/src/main/java/org/oriolewell/core/config/UpstreamSpec.java
@@ -11,6 +11,9 @@
  * @param models models, versions and adapters that an engine should have
  */
 public record UpstreamSpec(boolean draining, @Nullable String role, List<ModelSpec> models) {
+  /** Settings of an upstream that the document doesn't name. */
+  public static final UpstreamSpec DEFAULT = new UpstreamSpec(false, null, List.of());
+
   /**
    * A model on an engine.
    *
--- /dev/null
+++ b/core/src/test/java/org/oriolewell/core/config/ConfigEditorTest.java
@@ -0,0 +1,160 @@
+package org.oriolewell.core.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.oriolewell.core.config.Documents.next;
+import static org.oriolewell.core.config.Documents.sample;
+import static org.oriolewell.core.config.Documents.stage;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.oriolewell.core.config.ConfigChange.CreateFirm;
+import org.oriolewell.core.config.ConfigChange.CreatePipeline;
+import org.oriolewell.core.config.ConfigChange.CreatePool;
+import org.oriolewell.core.config.ConfigChange.CreateWorkspace;
+import org.oriolewell.core.config.ConfigChange.Drain;
+import org.oriolewell.core.config.ConfigChange.Kind;
+import org.oriolewell.core.config.ConfigChange.Remove;
+import org.oriolewell.core.config.ConfigChange.Restore;
+import org.oriolewell.core.config.ConfigChange.RollBack;
+import org.oriolewell.core.config.ConfigChange.SetFirm;
+import org.oriolewell.core.config.ConfigChange.SetModel;
+import org.oriolewell.core.config.ConfigChange.SetPipeline;
+import org.oriolewell.core.config.ConfigChange.SetPool;
+import org.oriolewell.core.config.ConfigChange.SetRole;
+import org.oriolewell.core.config.ConfigChange.Target;
+
+/**
+ * Guards against documents that the path can't work with, and against changes with side effects.
+ */
+class ConfigEditorTest {
+  private static void assertRejected(String problem, ConfigChange... changes) throws Exception {
+    ConfigDocument base = sample();
+    assertThatThrownBy(() -> next(base, changes))
+        .isInstanceOf(RejectedChangeException.class)
+        .hasMessageContaining(problem);
+  }
+
+  private static CreatePipeline pipeline(long deadline, StageSpec... stages) {
+    return new CreatePipeline("p", new PipelineSpec(deadline, List.of(stages)));
+  }
+
+  // Guards against references to objects that don't exist.
+  @Test
+  void unknownReferencesAreRejected() throws Exception {
+    assertRejected("the pool nowhere is unknown", pipeline(1000, stage("a", "nowhere")));
+    assertRejected("unknown firm x", new CreateWorkspace("w", new WorkspaceSpec("x", 1, 0)));
+    assertRejected("unknown firm gwifren", new Remove(Kind.FIRM, "gwifren"));
+    assertRejected("the pool encoders is unknown", new Remove(Kind.POOL, "encoders"));
+    assertRejected("workspace x doesn't exist", new Remove(Kind.WORKSPACE, "x"));
+  }
+
+  // Guards against pipelines that can't run.
+  @Test
+  void pipelineShapesAreChecked() throws Exception {
+    StageSpec[] seven =
+        IntStream.range(0, 7).mapToObj(i -> stage("s" + i, "encoders")).toArray(StageSpec[]::new);
+    assertRejected("has 0 stages", pipeline(1000));
+    assertRejected("has 7 stages", pipeline(1000, seven));
+    assertRejected("stages need 100 ms", pipeline(99, stage("a", "encoders")));
+    assertRejected(
+        "two stages named a", pipeline(900, stage("a", "encoders"), stage("a", "encoders")));
+    assertRejected("name a model", pipeline(900, stage("a", "engines")));
+    assertRejected(
+        "has no shards", pipeline(900, new StageSpec("a", "encoders", "run", false, 1, null, 0)));
+  }
+
+  // Guards against shares and values outside their range, and a document the store can't hold.
+  @Test
+  void valuesAndSizeAreChecked() throws Exception {
+    assertRejected("sum to 1.1", new CreateFirm("t", new FirmSpec(0.6)));
+    assertRejected("has the share 0.0", new SetFirm("gwifren", 0));
+    assertRejected(
+        "has the priority 10", new CreateWorkspace("w", new WorkspaceSpec("gwifren", 1, 10)));
+    assertRejected("is not valid", new CreateFirm("a/b", new FirmSpec(0.1)));
+    ConfigChange[] many =
+        IntStream.range(0, 14_000)
+            .mapToObj(
+                i ->
+                    new CreateWorkspace(
+                        "workspace-with-a-long-name-" + i, new WorkspaceSpec("gwifren", 1, 5)))
+            .toArray(ConfigChange[]::new);
+    assertRejected("over the limit of 1000000", many);
+  }
+
+  // Guards against a key that moves to another shard and so runs twice.
+  @Test
+  void shardsAreFixedOnceSet() throws Exception {
+    assertRejected("3 shards, which are fixed", new SetPool("permits", null, 4, null, null));
+    assertRejected("can't be removed", new Remove(Kind.POOL, "permits"));
+    assertRejected(
+        "which are fixed",
+        new Remove(Kind.POOL, "permits"),
+        new CreatePool("permits", new PoolSpec(PoolSpec.Kind.SERVICE, 2, List.of(), false)));
+  }
+
+  // Guards against a partial change that resets other members.
+  @Test
+  void setKeepsWhatItDoesNotName() throws Exception {
+    ConfigDocument changed =
+        next(
+            sample(),
+            new SetPipeline("survey", 9000L, null),
+            new SetModel(new Target(true, "engines"), "m", "1", null),
+            new SetModel(new Target(true, "engines"), "m", "2", "forms"),
+            new SetRole(new Target(false, "h1"), "generate"),
+            new Drain("h1"));
+
+    assertThat(changed.pipelines().get("survey"))
+        .isEqualTo(new PipelineSpec(9000, List.of(stage("encode", "encoders"))));
+    assertThat(changed.wanted("h1", "engines"))
+        .isEqualTo(
+            new UpstreamSpec(
+                true,
+                "generate",
+                List.of(
+                    new UpstreamSpec.ModelSpec("m", "2", null),
+                    new UpstreamSpec.ModelSpec("m", "2", "forms"))));
+  }
+
+  // Guards against the document growing with each host that was ever drained.
+  @Test
+  void restoredHostLeavesNothingBehind() throws Exception {
+    ConfigDocument drained = next(sample(), new Drain("h1"));
+    assertThat(next(drained, new Restore("h1")).upstreams()).isEmpty();
+  }
+
+  // Guards against a roll back that rewrites history or misses an object.
+  @Test
+  void rollBackMakesNewVersionWithTheOldObjects() throws Exception {
+    ConfigDocument first = sample();
+    ConfigDocument second = next(first, new SetFirm("gwifren", 0.4), new Drain("h1"));
+    ConfigDocument third = next(second, new Remove(Kind.WORKSPACE, "north"));
+
+    ConfigDocument rolledBack = next(third, new RollBack(1));
+
+    assertThat(rolledBack.version()).isEqualTo(4);
+    assertThat(ConfigObjects.difference(first, rolledBack)).isEmpty();
+    assertThat(ConfigHistory.at(rolledBack, 2)).contains(second);
+    assertRejected("can't be restored", new RollBack(7));
+  }
+
+  // Guards against a change log that pushes the document over its limit, and against lost ids.
+  @Test
+  void changeLogKeepsIdsAndDropsOldDetails() throws Exception {
+    ConfigDocument document = sample();
+    for (int i = 0; i < 70; i++) {
+      document = next(document, new SetFirm("gwifren", 0.1 + i / 1000.0));
+    }
+    assertThat(document.changes()).hasSize(64);
+    assertThat(document.changes().get(0).version()).isEqualTo(8);
+    assertThat(ConfigHistory.at(document, 6)).isEmpty();
+    assertThat(ConfigHistory.at(document, 7)).isPresent();
+    String details = "x".repeat(200_000);
+    ChangeRecord large = new ChangeRecord(9, "id", "o", 0, "c", details, "{}");
+    assertThat(ChangeLog.append(List.of(large), large))
+        .extracting(change -> change.before().length())
+        .containsExactly(0, 200_000);
+  }
+}
