--- a/core/src/main/java/org/oriolewell/core/config/ConfigAcceptor.java
+++ b/core/src/main/java/org/oriolewell/core/config/ConfigAcceptor.java
@@ -146,7 +146,9 @@
   private Action written(Event.WriteDone event, Instant now) {
     ConfigDocument document = proposed;
     if (event.written() && document != null) {
-      return accepted(document.version(), document);
+      return new Action.Finish(
+          new Result(
+              Outcome.ACCEPTED, Reason.NONE, document.version(), "", List.of(), null, document));
     }
     // The revision moved: by another command, or by an earlier write of this one.
     return now.isBefore(giveUpAt) ? new Action.Read() : giveUp();
@@ -180,9 +182,9 @@
           versionInForce,
           "The stored document can't be read and was left as it is: " + e.getMessage());
     }
-    Optional<ChangeRecord> own = ChangeLog.find(stored, command.commandId());
-    if (own.isPresent()) {
-      return found(own.get(), stored);
+    Optional<Result> settled = settle(command, stored);
+    if (settled.isPresent()) {
+      return new Action.Finish(settled.get());
     }
     if (stored.version() < versionInForce) {
       return unknown(
@@ -195,63 +197,81 @@
               + " is in force; restore the stored document from an export.");
     }
     if (stored.version() != command.expectedVersion()) {
-      return overtaken(stored);
+      // A later attempt with the same id may still take effect, so this isn't a rejection.
+      return unknown(
+          Reason.VERSION_CONFLICT,
+          stored.version(),
+          "The expected version isn't made yet; the store holds version "
+              + stored.version()
+              + ". This attempt wrote nothing.");
     }
     return propose(event.revision(), stored, now);
   }
 
-  private Action found(ChangeRecord own, ConfigDocument stored) {
-    if (!own.command().equals(command.text())) {
-      return rejected(
+  private static Result found(ChangeRecord own, String text, ConfigDocument stored) {
+    if (!own.command().equals(text)) {
+      return result(
+          Outcome.REJECTED,
           Reason.ID_REUSED,
           own.version(),
           "The command id made version "
               + own.version()
-              + " with another command; use a new id for each command.");
+              + " with another command; use a new id for each command.",
+          null);
     }
-    return accepted(own.version(), stored);
+    return new Result(Outcome.ACCEPTED, Reason.NONE, own.version(), "", List.of(), null, stored);
   }
 
-  private Action overtaken(ConfigDocument stored) {
-    long next = command.expectedVersion() + 1;
-    if (stored.version() < next) {
-      // A later attempt with the same id may still take effect, so this isn't a rejection.
-      return unknown(
-          Reason.VERSION_CONFLICT,
-          stored.version(),
-          "The expected version isn't made yet; the store holds version "
-              + stored.version()
-              + ". This attempt wrote nothing.");
+  /**
+   * Settles a command from a document alone, or returns empty if only the store can tell. It is
+   * correct with any document that the store has held, also with an old one.
+   */
+  public static Optional<Result> settle(ConfigEditor.Command command, ConfigDocument document) {
+    Optional<ChangeRecord> own = ChangeLog.find(document, command.commandId());
+    if (own.isPresent()) {
+      return Optional.of(found(own.get(), command.text(), document));
+    }
+    return overtaken(command.expectedVersion(), document);
+  }
+
+  /** Returns the result of a command whose expected version is below the document's. */
+  private static Optional<Result> overtaken(long expectedVersion, ConfigDocument document) {
+    long next = expectedVersion + 1;
+    if (document.version() < next) {
+      return Optional.empty();
     }
-    Optional<ChangeRecord> winner = ChangeLog.find(stored, next);
+    Optional<ChangeRecord> winner = ChangeLog.find(document, next);
     if (winner.isEmpty()) {
-      return unknown(
-          Reason.VERSION_CONFLICT,
-          stored.version(),
-          "The kept changes don't reach back to version "
-              + next
-              + ", so it isn't known whether this command made it; compare the configuration.");
+      return Optional.of(
+          result(
+              Outcome.UNKNOWN,
+              Reason.VERSION_CONFLICT,
+              document.version(),
+              "The kept changes don't reach back to version "
+                  + next
+                  + ", so it isn't known whether this command made it; compare the configuration.",
+              null));
     }
     ChangeRecord by = winner.get();
-    return new Action.Finish(
-        new Result(
-            Outcome.REJECTED,
-            Reason.VERSION_CONFLICT,
-            stored.version(),
-            "Version "
-                + next
-                + " was made by "
-                + by.operator()
-                + " with command "
-                + by.commandId()
-                + " ("
-                + by.command()
-                + "); read version "
-                + stored.version()
-                + " and send a new command.",
-            List.of(),
-            by,
-            null));
+    String detail =
+        "Version "
+            + next
+            + " was made by "
+            + by.operator()
+            + " with command "
+            + by.commandId()
+            + " ("
+            + by.command()
+            + "); read version "
+            + document.version()
+            + " and send a new command.";
+    return Optional.of(
+        result(Outcome.REJECTED, Reason.VERSION_CONFLICT, document.version(), detail, by));
+  }
+
+  private static Result result(
+      Outcome outcome, Reason reason, long version, String detail, @Nullable ChangeRecord winner) {
+    return new Result(outcome, reason, version, detail, List.of(), winner, null);
   }
 
   private Action propose(long revision, ConfigDocument stored, Instant now) {
@@ -275,18 +295,7 @@
     }
   }
 
-  private static Action accepted(long version, ConfigDocument document) {
-    return new Action.Finish(
-        new Result(Outcome.ACCEPTED, Reason.NONE, version, "", List.of(), null, document));
-  }
-
-  private static Action rejected(Reason reason, long version, String detail) {
-    return new Action.Finish(
-        new Result(Outcome.REJECTED, reason, version, detail, List.of(), null, null));
-  }
-
   private static Action unknown(Reason reason, long version, String detail) {
-    return new Action.Finish(
-        new Result(Outcome.UNKNOWN, reason, version, detail, List.of(), null, null));
+    return new Action.Finish(result(Outcome.UNKNOWN, reason, version, detail, null));
   }
 }
--- a/runtime/src/main/java/org/oriolewell/runtime/config/ConfigService.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/config/ConfigService.java
@@ -1,11 +1,15 @@
 package org.oriolewell.runtime.config;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -14,7 +18,13 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.config.ChangeLog;
+import org.oriolewell.core.config.ChangeRecord;
+import org.oriolewell.core.config.ConfigAcceptor;
+import org.oriolewell.core.config.ConfigAcceptor.Result;
 import org.oriolewell.core.config.ConfigDocument;
+import org.oriolewell.core.config.ConfigEditor;
+import org.oriolewell.core.config.ConfigJson;
 import org.oriolewell.core.config.ConfigMember;
 import org.oriolewell.core.config.ConfigReplica;
 import org.oriolewell.core.config.ConfigReplica.Action;
@@ -45,6 +55,7 @@
   private final InstantSource clock;
   private final EventLog log;
   private final ConfigReplica replica;
+  private final KeyValueStore store;
   private final StoreWatch watch;
   private final ScheduledExecutorService executor;
   private final List<Consumer<ConfigDocument>> listeners = new CopyOnWriteArrayList<>();
@@ -62,6 +73,7 @@
       EventLog log) {
     this.self = self;
     this.entry = entry;
+    this.store = store;
     this.clock = clock;
     this.log = log;
     replica = ConfigReplica.create(random);
@@ -175,9 +187,54 @@
         });
   }
 
-  /** Puts a document in force that the store has just accepted from this process. */
-  void accepted(ConfigDocument document) {
-    execute(() -> apply(new Event.Accepted(document)));
+  /**
+   * Brings a command into the store. The future never fails; its result says whether the command
+   * was accepted, and the accepted version is in force in this process soon after.
+   */
+  public CompletableFuture<Result> submit(ConfigEditor.Command command) {
+    Optional<Result> settled = ConfigAcceptor.settle(command, current);
+    if (settled.isPresent()) {
+      return CompletableFuture.completedFuture(settled.get());
+    }
+    return Submission.start(command, current.version(), store, executor, clock)
+        .thenApply(this::learn);
+  }
+
+  /**
+   * Looks for the outcome of a command: in the document in force, else in the store.
+   *
+   * @return the change that the command made, or empty if there is none yet; fails if the store
+   *     doesn't answer or its document can't be read
+   */
+  public CompletableFuture<Optional<ChangeRecord>> find(String commandId) {
+    Optional<ChangeRecord> known = ChangeLog.find(current, commandId);
+    if (known.isPresent()) {
+      return CompletableFuture.completedFuture(known);
+    }
+    return store
+        .get(KEY)
+        .thenApply(
+            entry -> {
+              ConfigDocument stored = read(entry);
+              execute(() -> apply(new Event.Accepted(stored)));
+              return ChangeLog.find(stored, commandId);
+            });
+  }
+
+  private static ConfigDocument read(Optional<KeyValueStore.Entry> entry) {
+    try {
+      return entry.isEmpty() ? ConfigDocument.empty() : ConfigJson.readAny(entry.get().value());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private Result learn(Result result) {
+    ConfigDocument accepted = result.document();
+    if (accepted != null) {
+      execute(() -> apply(new Event.Accepted(accepted)));
+    }
+    return result;
   }
 
   @Override
--- a/runtime/src/main/java/org/oriolewell/runtime/config/StoreWatch.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/config/StoreWatch.java
@@ -34,6 +34,7 @@
   private long revision;
   private Duration delay = MIN_DELAY;
   private volatile @Nullable CompletableFuture<?> pending;
+  private volatile boolean closed;
 
   StoreWatch(
       KeyValueStore store,
@@ -86,7 +87,7 @@
     pending = call;
     call.whenCompleteAsync(
         (value, failure) -> {
-          if (mine != generation) {
+          if (mine != generation || closed) {
             return;
           }
           done(value, failure);
@@ -141,6 +142,7 @@
 
   @Override
   public void close() {
+    closed = true;
     cancel();
   }
 }
