Test the stand-ins and describe them

The tests use the product's own clients for the store and the host list. They found that a service with a full queue left the refused call unanswered; it is now answered with 503. Unlimited outages also lose answers in flight.

--- a/standins/src/main/java/org/oriolewell/standins/EngineBatch.java
+++ b/standins/src/main/java/org/oriolewell/standins/EngineBatch.java
@@ -80,7 +80,7 @@
   }
 
   private void startStep() {
-    if (faults.stalled("generate")) {
+    if (faults.affects(Fault.Kind.STALL, "generate")) {
       timer.afterNanos(STALL_POLL_NANOS).thenRun(this::startStep);
       return;
     }
--- a/standins/src/main/java/org/oriolewell/standins/Fault.java
+++ b/standins/src/main/java/org/oriolewell/standins/Fault.java
@@ -29,9 +29,12 @@
     DROP_ANSWER,
     /** Calls are answered with status 503 before any effect. */
     REFUSE,
-    /** The effect takes place, but the answer has this status; 500 if the value is 0 or 1. */
+    /** The effect takes place, but the answer has this status; 500 if the value is below 200. */
     FAIL,
-    /** Connections are closed without effect and without answer. */
+    /**
+     * Connections are closed without effect and without answer. While it affects all calls, answers
+     * to earlier calls are lost too.
+     */
     OUTAGE,
     /** Calls get no answer and have no effect; their connections close when the fault ends. */
     SILENCE,
@@ -41,6 +44,16 @@
     BURST
   }
 
+  /** Checks the numbers. */
+  public Fault {
+    if (count < 0 || value < 0 || (duration != null && duration.isNegative())) {
+      throw new IllegalArgumentException("a fault's numbers must not be negative");
+    }
+    if (kind == Kind.SLOW_FACTOR && value == 0) {
+      throw new IllegalArgumentException("slow_factor must be above 0; 1 leaves times as they are");
+    }
+  }
+
   /** Returns a fault that affects all calls until it is cleared. */
   public static Fault of(Kind kind, double value) {
     return new Fault(kind, value, 0, null, "");
--- a/standins/src/main/java/org/oriolewell/standins/FaultPlan.java
+++ b/standins/src/main/java/org/oriolewell/standins/FaultPlan.java
@@ -154,10 +154,10 @@
     }
   }
 
-  /** Returns whether an unlimited stall holds calls of a label. */
-  boolean stalled(String label) {
+  /** Returns whether a fault of a kind, without a limit on calls, affects a label. */
+  boolean affects(Fault.Kind kind, String label) {
     synchronized (active) {
-      return active.stream().anyMatch(a -> a.remaining < 0 && a.affects(Fault.Kind.STALL, label));
+      return active.stream().anyMatch(a -> a.remaining < 0 && a.affects(kind, label));
     }
   }
 }
--- a/standins/src/main/java/org/oriolewell/standins/ServiceStandin.java
+++ b/standins/src/main/java/org/oriolewell/standins/ServiceStandin.java
@@ -67,7 +67,7 @@
         .run(
             () -> (long) (times.nextNanos() * server.faults.slowFactor("operation " + name)),
             () -> effect.complete(server.ledger.add(requestId, name, key)))
-        .thenCombine(effect, (done, execution) -> output(execution, body.path("input")))
+        .thenApply(done -> output(effect.join(), body.path("input")))
         .exceptionally(ServiceStandin::busy);
   }
 
--- a/standins/src/main/java/org/oriolewell/standins/StandinServer.java
+++ b/standins/src/main/java/org/oriolewell/standins/StandinServer.java
@@ -255,7 +255,7 @@
         .thenCompose(answer -> delay(Fault.Kind.ANSWER_DELAY_MS, label).thenApply(sent -> answer))
         .thenCompose(
             answer -> {
-              if (drop.isPresent()) {
+              if (drop.isPresent() || faults.affects(Fault.Kind.OUTAGE, label)) {
                 call.drop();
                 return new CompletableFuture<>();
               }
