--- a/standins/src/test/java/org/oriolewell/standins/EngineStandinTest.java
+++ b/standins/src/test/java/org/oriolewell/standins/EngineStandinTest.java
@@ -79,7 +79,7 @@
     engine.faults().set(Fault.of(Fault.Kind.SLOW_FACTOR, 20));
     final CompletableFuture<List<JsonNode>> first = generate("a", 5, 0, 0);
     Await.until(() -> engine.executions().total() == 1);
-    CompletableFuture<List<JsonNode>> low = generate("b", 50, 0, 1);
+    final CompletableFuture<List<JsonNode>> low = generate("b", 50, 0, 1);
     Await.until(() -> engine.executions().total() == 2);
     CompletableFuture<List<JsonNode>> high = generate("c", 5, 0, 9);
 
--- a/standins/src/test/java/org/oriolewell/standins/ServiceStandinTest.java
+++ b/standins/src/test/java/org/oriolewell/standins/ServiceStandinTest.java
@@ -57,7 +57,7 @@
   @Test
   void stalledCallRunsWhenTheFaultEnds() {
     service.faults().set(Fault.next(Fault.Kind.STALL, 0, 1, ""));
-    CompletableFuture<HttpResponse<String>> stalled = call();
+    final CompletableFuture<HttpResponse<String>> stalled = call();
     Await.until(() -> service.faults().faults().isEmpty());
     assertThat(call().join().statusCode()).isEqualTo(200);
     assertThat(service.executions().total()).isEqualTo(1);
--- a/standins/src/test/java/org/oriolewell/standins/StandinsTest.java
+++ b/standins/src/test/java/org/oriolewell/standins/StandinsTest.java
@@ -24,7 +24,8 @@
     HttpClient http = new HttpClient();
     http.start();
     String settings =
-        "lag_ms = 300\nhosts = [\"h1 127.0.0.1 7000 agent permits de-cymru-a de-cymru gwifren live\"]";
+        "lag_ms = 300\nhosts = [\"h1 127.0.0.1 7000 agent permits de-cymru-a de-cymru"
+            + " gwifren live\"]";
     try (HostListStandin standin = HostListStandin.start(settings)) {
       HostList hosts = HttpHostList.of(http, standin.uri(), Duration.ofSeconds(5));
       HostList.Host host =
