Add the agent with idempotent calls, token streams and an operators' port

Entries need a program beside each upstream that queues, runs and refuses their calls. The agent serves the wire protocol, forwards calls to engines, stage pools and plain services, forwards tokens within credits, cancels unwanted work and reports what each upstream failure proves. Non-idempotent calls are refused for now.

--- /dev/null
+++ b/agent/src/main/java/org/oriolewell/agent/Admission.java
@@ -0,0 +1,44 @@
+package org.oriolewell.agent;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.oriolewell.runtime.wire.Message;
+import org.oriolewell.runtime.wire.Message.RefusalKind;
+
+/** Decides when a call may go to the upstream. Used on the agent's loop only. */
+interface Admission {
+  /** A call that asks to run. */
+  interface Ticket {
+    /** Returns the wire message that asked for the call. */
+    Message.Call call();
+
+    /** Returns the end of the call's remaining time. */
+    Instant deadline();
+
+    /** Lets the call run; {@link Admission#finished} must follow. */
+    void admitted();
+
+    /** Refuses the call, which has not run. */
+    void refused(RefusalKind kind, String detail, Duration retryAfter);
+  }
+
+  /** Takes a call; admits or refuses it now or later. */
+  void offer(Ticket ticket, Instant now);
+
+  /** Forgets a call that still waits. */
+  void withdraw(Ticket ticket, Instant now);
+
+  /**
+   * Frees the place of an admitted call.
+   *
+   * @param latency time at the upstream
+   * @param failed whether the upstream failed the call
+   */
+  void finished(Ticket ticket, Duration latency, boolean failed, Instant now);
+
+  /** Called about every 50 ms so that waiting calls whose time runs out can be refused. */
+  void tick(Instant now);
+
+  /** Returns the load to report to dialers. */
+  Message.Load load(boolean draining);
+}
--- /dev/null
+++ b/agent/src/main/java/org/oriolewell/agent/Agent.java
@@ -0,0 +1,272 @@
+package org.oriolewell.agent;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntPredicate;
+import org.eclipse.jetty.client.HttpClient;
+import org.oriolewell.runtime.http.JsonServer;
+import org.oriolewell.runtime.http.OperatorsPort;
+import org.oriolewell.runtime.log.EventLog;
+import org.oriolewell.runtime.log.RuntimeEvent;
+import org.oriolewell.runtime.platform.HttpKeyValueStore;
+import org.oriolewell.runtime.platform.KeyValueStore;
+import org.oriolewell.runtime.settings.Settings;
+import org.oriolewell.runtime.wire.Message;
+import org.oriolewell.runtime.wire.WireServer;
+
+/**
+ * A running agent: the wire port for entries, the operators' port, and the upstream beside it.
+ * Closing it is a planned stop that finishes the calls in flight.
+ */
+public final class Agent implements AutoCloseable {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int OPERATORS_BODY_BYTES = 64 << 10;
+  private static final Duration TICK = Duration.ofMillis(50);
+
+  private final Settings settings;
+  private final EventLog log;
+  private final Loop loop;
+  private final HttpClient http;
+  private final AgentContext context;
+  private final WireServer wire;
+  private final JsonServer operators;
+  private final Service service = new Service();
+  private final NonIdempotentCalls nonIdempotent = new NoNonIdempotentCalls();
+  private final Set<Dialer> dialers = new LinkedHashSet<>();
+  private final CountDownLatch idle = new CountDownLatch(1);
+  private volatile boolean draining;
+
+  private Agent(Settings settings, InstantSource clock) {
+    this.settings = settings;
+    log = EventLog.of("agent", clock);
+    loop = Loop.start(log);
+    http = HttpClients.start(settings.value(AgentSettings.UPSTREAM_CONNECT_TIMEOUT));
+    KeyValueStore store =
+        HttpKeyValueStore.of(
+            http,
+            URI.create(settings.value(AgentSettings.STORE_URL)),
+            settings.value(AgentSettings.STORE_TIMEOUT));
+    AgentIdentity identity = AgentIdentity.of(settings, new SecureRandom());
+    ConfigFeed config =
+        PollingConfig.start(store, loop, log, settings.value(AgentSettings.CONFIG_POLL));
+    context =
+        new AgentContext(
+            identity,
+            clock,
+            loop,
+            log,
+            new AgentMetrics(),
+            new FixedLimitAdmission(
+                settings.value(AgentSettings.LIMIT), settings.value(AgentSettings.QUEUE_SIZE)),
+            upstream(status -> config.notExecuted(identity.pool(), status)),
+            config,
+            settings.value(AgentSettings.FRAME_BYTES));
+    wire =
+        WireServer.of(
+            new InetSocketAddress(
+                settings.value(AgentSettings.WIRE_ADDRESS),
+                settings.value(AgentSettings.WIRE_PORT)),
+            () -> new Dialer(context, service),
+            context.maxFrameBytes(),
+            null,
+            log);
+    operators =
+        OperatorsPort.addRoutes(
+            JsonServer.of(
+                new InetSocketAddress(
+                    settings.value(AgentSettings.OPERATORS_ADDRESS),
+                    settings.value(AgentSettings.OPERATORS_PORT)),
+                OPERATORS_BODY_BYTES,
+                log),
+            context.metrics().registry(),
+            () -> !draining,
+            () -> loop.ask(this::status));
+    context.metrics().watch(() -> loop.ask(service::load));
+  }
+
+  /**
+   * Starts an agent.
+   *
+   * @param clock source of the time
+   * @throws IllegalStateException if a port can't be bound
+   */
+  public static Agent start(Settings settings, InstantSource clock) {
+    Agent agent = new Agent(settings, clock);
+    agent.operators.start("operators");
+    agent.wire.start("wire");
+    agent.loop.every(
+        settings.value(AgentSettings.HEARTBEAT),
+        () ->
+            Set.copyOf(agent.dialers)
+                .forEach(
+                    dialer ->
+                        dialer.checkLiveness(
+                            settings.value(AgentSettings.HEARTBEAT),
+                            settings.value(AgentSettings.DIALER_TIMEOUT))));
+    agent.loop.every(TICK, () -> agent.context.admission().tick(agent.context.clock().instant()));
+    agent
+        .log
+        .event(RuntimeEvent.STARTED)
+        .with("process", agent.context.identity().process())
+        .write();
+    return agent;
+  }
+
+  private Upstream upstream(IntPredicate notExecuted) {
+    URI url = URI.create(settings.value(AgentSettings.UPSTREAM_URL));
+    Duration timeout = settings.value(AgentSettings.UPSTREAM_TIMEOUT);
+    int output = settings.value(AgentSettings.FRAME_BYTES) - Dialer.FRAME_OVERHEAD;
+    return switch (settings.value(AgentSettings.UPSTREAM_KIND)) {
+      case "engine" ->
+          new EngineUpstream(
+              http,
+              url,
+              timeout,
+              settings.value(AgentSettings.DEFAULT_MAX_TOKENS),
+              notExecuted,
+              output,
+              log);
+      case "service" -> JsonUpstream.service(http, url, timeout, notExecuted, output);
+      default -> JsonUpstream.stagePool(http, url, timeout, notExecuted, output);
+    };
+  }
+
+  /** Returns the bound address for entries. */
+  public InetSocketAddress wireAddress() {
+    return wire.address();
+  }
+
+  /** Returns the bound address for operators. */
+  public InetSocketAddress operatorsAddress() {
+    return operators.address();
+  }
+
+  private Map<String, Object> status() {
+    Message.Load load = service.load();
+    AgentIdentity identity = context.identity();
+    Map<String, Object> status = new LinkedHashMap<>();
+    status.put("process", identity.process());
+    status.put("role", "agent");
+    status.put("host", identity.host());
+    status.put("firm", identity.firm());
+    status.put("pool", identity.pool());
+    status.put("zone", identity.zone());
+    status.put("region", identity.region());
+    status.put("config_version", context.config().current().version());
+    status.put("draining", load.draining());
+    status.put("in_flight", load.inFlight());
+    status.put("queued", load.queued());
+    status.put("limit", load.limit());
+    status.put("queue_delay_micros", load.queueDelayMicros());
+    status.put("connections", dialers.size());
+    status.put("shards", nonIdempotent.shards());
+    return status;
+  }
+
+  private int openCalls() {
+    return dialers.stream().mapToInt(Dialer::callCount).sum();
+  }
+
+  @Override
+  public void close() {
+    log.event(RuntimeEvent.STOPPING).write();
+    loop.execute(
+        () -> {
+          draining = true;
+          service.callEnded();
+        });
+    awaitIdle();
+    wire.close();
+    operators.close();
+    context.config().close();
+    loop.close();
+    HttpClients.stop(http);
+    log.event(RuntimeEvent.STOPPED).write();
+  }
+
+  private void awaitIdle() {
+    Duration max = settings.value(AgentSettings.STOP_MAX);
+    try {
+      if (!idle.await(max.toMillis(), TimeUnit.MILLISECONDS)) {
+        log.event(AgentEvent.DRAIN_TIMED_OUT).write();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private final class Service implements AgentService {
+    @Override
+    public void opened(Dialer dialer) {
+      dialers.add(dialer);
+    }
+
+    @Override
+    public void closed(Dialer dialer) {
+      dialers.remove(dialer);
+    }
+
+    @Override
+    public void callEnded() {
+      if (draining && openCalls() == 0) {
+        idle.countDown();
+      }
+    }
+
+    @Override
+    public boolean draining() {
+      return draining;
+    }
+
+    @Override
+    public Message.Load load() {
+      return context.admission().load(draining);
+    }
+
+    @Override
+    public Message.Hello hello() {
+      AgentIdentity identity = context.identity();
+      return new Message.Hello(
+          Message.PROTOCOL_VERSION,
+          identity.process(),
+          "agent",
+          identity.pool(),
+          identity.zone(),
+          identity.region(),
+          context.config().current().version(),
+          nonIdempotent.shards(),
+          load());
+    }
+
+    @Override
+    public Message.Pong pong(Message.Ping ping) {
+      return new Message.Pong(
+          ping.sequence(), context.config().current().version(), load(), nonIdempotent.shards());
+    }
+
+    @Override
+    public NonIdempotentCalls nonIdempotent() {
+      return nonIdempotent;
+    }
+
+    @Override
+    public byte[] answer(byte[] question) {
+      try {
+        return JSON.writeValueAsBytes(status());
+      } catch (JsonProcessingException e) {
+        throw new IllegalStateException("the status cannot be written", e);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/agent/src/main/java/org/oriolewell/agent/AgentSettings.java
@@ -0,0 +1,181 @@
+package org.oriolewell.agent;
+
+import java.time.Duration;
+import java.util.List;
+import org.oriolewell.runtime.settings.Setting;
+import org.oriolewell.runtime.settings.SettingsSpec;
+import org.oriolewell.runtime.wire.WireConnection;
+
+/** Settings of the agent. {@code oriolewell-agent --print-defaults} prints them. */
+public final class AgentSettings {
+  /** Name of the host that the agent and its upstream run on. */
+  public static final Setting<String> HOST =
+      Setting.string("host", "localhost", "Name of this host, as in the host list.");
+
+  /** Firm that owns the host. */
+  public static final Setting<String> FIRM =
+      Setting.string("firm", "", "Firm that owns this host.");
+
+  /** Pool of the upstream. */
+  public static final Setting<String> POOL =
+      Setting.string("pool", "default", "Pool that the upstream belongs to.");
+
+  /** Availability zone of the host. */
+  public static final Setting<String> ZONE =
+      Setting.string("zone", "", "Availability zone of this host.");
+
+  /** Region of the host. */
+  public static final Setting<String> REGION = Setting.string("region", "", "Region of this host.");
+
+  /** Address of the wire port. */
+  public static final Setting<String> WIRE_ADDRESS =
+      Setting.string(
+          "wire.address", "127.0.0.1", "IP address for entries and agents to connect to.");
+
+  /** Port for entries and agents. */
+  public static final Setting<Integer> WIRE_PORT =
+      Setting.integer(
+          "wire.port", 7300, 0, 65535, "TCP port for entries and agents; 0 picks a free one.");
+
+  /** Largest frame on the wire. */
+  public static final Setting<Integer> FRAME_BYTES =
+      Setting.integer(
+          "wire.max_frame_bytes",
+          WireConnection.DEFAULT_MAX_FRAME_BYTES,
+          4 << 10,
+          64 << 20,
+          "Largest frame that is accepted or sent, in bytes.");
+
+  /** Interval of the agent's own heartbeats. */
+  public static final Setting<Duration> HEARTBEAT =
+      Setting.millis(
+          "wire.heartbeat_millis",
+          Duration.ofMillis(250),
+          Duration.ofMillis(10),
+          Duration.ofMinutes(1),
+          "Time without a message after which a dialer with calls in flight is pinged.");
+
+  /** Time after which a silent dialer is disconnected. */
+  public static final Setting<Duration> DIALER_TIMEOUT =
+      Setting.millis(
+          "wire.dialer_timeout_millis",
+          Duration.ofSeconds(2),
+          Duration.ofMillis(50),
+          Duration.ofMinutes(10),
+          "Time without a message after which a dialer with calls in flight is disconnected.");
+
+  /** Address of the operators' port. */
+  public static final Setting<String> OPERATORS_ADDRESS =
+      Setting.string("operators.address", "127.0.0.1", "IP address of the operators' port.");
+
+  /** Operators' port. */
+  public static final Setting<Integer> OPERATORS_PORT =
+      Setting.integer(
+          "operators.port", 7301, 0, 65535, "TCP port for operators; 0 picks a free one.");
+
+  /** Kind of the upstream. */
+  public static final Setting<String> UPSTREAM_KIND =
+      Setting.choice(
+          "upstream.kind", "stage", List.of("engine", "stage", "service"), "Kind of the upstream.");
+
+  /** Address of the upstream. */
+  public static final Setting<String> UPSTREAM_URL =
+      Setting.string("upstream.url", "http://127.0.0.1:7400", "Base URL of the upstream.");
+
+  /** Longest time that the upstream may take for a call. */
+  public static final Setting<Duration> UPSTREAM_TIMEOUT =
+      Setting.millis(
+          "upstream.timeout_millis",
+          Duration.ofSeconds(30),
+          Duration.ofMillis(10),
+          Duration.ofMinutes(30),
+          "Longest time for one call at the upstream, also when its dialer has gone.");
+
+  /** Longest time to connect to the upstream. */
+  public static final Setting<Duration> UPSTREAM_CONNECT_TIMEOUT =
+      Setting.millis(
+          "upstream.connect_timeout_millis",
+          Duration.ofSeconds(1),
+          Duration.ofMillis(10),
+          Duration.ofMinutes(1),
+          "Longest time to connect to the upstream.");
+
+  /** Tokens of an answer when the configuration names no number. */
+  public static final Setting<Integer> DEFAULT_MAX_TOKENS =
+      Setting.integer(
+          "upstream.default_max_tokens",
+          512,
+          1,
+          1 << 20,
+          "Most tokens of an answer when neither configuration nor input sets it.");
+
+  /** Address of the key-value service. */
+  public static final Setting<String> STORE_URL =
+      Setting.string("store.url", "http://127.0.0.1:7100", "Base URL of the key-value service.");
+
+  /** Time after which a call to the key-value service counts as unanswered. */
+  public static final Setting<Duration> STORE_TIMEOUT =
+      Setting.millis(
+          "store.timeout_millis",
+          Duration.ofMillis(500),
+          Duration.ofMillis(10),
+          Duration.ofMinutes(1),
+          "Time after which a call to the key-value service counts as unanswered.");
+
+  /** Time between two reads of the configuration. */
+  public static final Setting<Duration> CONFIG_POLL =
+      Setting.millis(
+          "store.config_poll_millis",
+          Duration.ofSeconds(1),
+          Duration.ofMillis(10),
+          Duration.ofMinutes(10),
+          "Time between two reads of the configuration.");
+
+  /** Calls that may wait. */
+  public static final Setting<Integer> QUEUE_SIZE =
+      Setting.integer("admission.queue_size", 512, 0, 1 << 20, "Calls that may wait.");
+
+  /** Calls that may be at the upstream at once. */
+  public static final Setting<Integer> LIMIT =
+      Setting.integer("admission.limit", 64, 1, 1 << 16, "Calls at the upstream at once.");
+
+  /** Longest planned stop. */
+  public static final Setting<Duration> STOP_MAX =
+      Setting.millis(
+          "stop.max_millis",
+          Duration.ofSeconds(30),
+          Duration.ofMillis(10),
+          Duration.ofMinutes(30),
+          "Longest time that a planned stop waits for calls in flight.");
+
+  /** All settings, in the order they are printed. */
+  public static final SettingsSpec SPEC =
+      SettingsSpec.of(
+          "oriolewell-agent",
+          List.of(
+              HOST,
+              FIRM,
+              POOL,
+              ZONE,
+              REGION,
+              WIRE_ADDRESS,
+              WIRE_PORT,
+              FRAME_BYTES,
+              HEARTBEAT,
+              DIALER_TIMEOUT,
+              OPERATORS_ADDRESS,
+              OPERATORS_PORT,
+              UPSTREAM_KIND,
+              UPSTREAM_URL,
+              UPSTREAM_TIMEOUT,
+              UPSTREAM_CONNECT_TIMEOUT,
+              DEFAULT_MAX_TOKENS,
+              STORE_URL,
+              STORE_TIMEOUT,
+              CONFIG_POLL,
+              QUEUE_SIZE,
+              LIMIT,
+              STOP_MAX));
+
+  private AgentSettings() {}
+}
--- /dev/null
+++ b/agent/src/main/java/org/oriolewell/agent/ConfigFeed.java
@@ -0,0 +1,40 @@
+package org.oriolewell.agent;
+
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.config.ConfigDocument;
+import org.oriolewell.core.config.PipelineSpec;
+import org.oriolewell.core.config.PoolSpec;
+import org.oriolewell.core.config.StageSpec;
+import org.oriolewell.core.config.UpstreamSpec;
+
+/** Supplies the configuration in force. */
+interface ConfigFeed extends AutoCloseable {
+  /** Returns the configuration in force; version 0 if none is known yet. May be called anywhere. */
+  ConfigDocument current();
+
+  /** Calls the listener with each higher version, on the agent's loop. */
+  void onChange(Consumer<ConfigDocument> listener);
+
+  @Override
+  void close();
+
+  /** Returns a stage's settings, or null if the configuration doesn't have it. */
+  default @Nullable StageSpec stage(String pipeline, int index) {
+    PipelineSpec spec = current().pipelines().get(pipeline);
+    return spec == null || index < 0 || index >= spec.stages().size()
+        ? null
+        : spec.stages().get(index);
+  }
+
+  /** Returns whether a status of the pool's upstreams means that a call did not run. */
+  default boolean notExecuted(String pool, int status) {
+    PoolSpec spec = current().pools().get(pool);
+    return spec != null && spec.notExecutedStatuses().contains(status);
+  }
+
+  /** Returns a host's upstream settings, or null if the configuration has none. */
+  default @Nullable UpstreamSpec upstream(String host) {
+    return current().upstreams().get(host);
+  }
+}
--- /dev/null
+++ b/agent/src/test/java/org/oriolewell/agent/TestEntry.java
@@ -0,0 +1,134 @@
+package org.oriolewell.agent;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.oriolewell.runtime.wire.Message;
+import org.oriolewell.runtime.wire.WireClient;
+import org.oriolewell.runtime.wire.WireConnection;
+
+/** An entry's side of a connection. */
+final class TestEntry implements WireConnection.Listener, AutoCloseable {
+  private static final long WAIT_SECONDS = 10;
+
+  private final WireClient client = WireClient.start(Duration.ofSeconds(2), 1 << 20, null);
+  private final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
+  private final CountDownLatch closed = new CountDownLatch(1);
+  private final WireConnection connection;
+
+  private TestEntry(InetSocketAddress agent) throws Exception {
+    connection = client.connect(agent, this).get(WAIT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  static TestEntry connect(InetSocketAddress agent) throws Exception {
+    TestEntry entry = connectSilently(agent);
+    entry.send(
+        new Message.Hello(
+            Message.PROTOCOL_VERSION,
+            "entry-1",
+            "entry",
+            "",
+            "z1",
+            "r1",
+            0,
+            Map.of(),
+            Message.Load.NONE));
+    assertThat(entry.next(Message.Hello.class).role()).isEqualTo("agent");
+    return entry;
+  }
+
+  /** Connects without the HELLO that the protocol asks for. */
+  static TestEntry connectSilently(InetSocketAddress agent) throws Exception {
+    return new TestEntry(agent);
+  }
+
+  @Override
+  public void onMessage(WireConnection from, Message message) {
+    if (message instanceof Message.Ping ping) {
+      from.send(new Message.Pong(ping.sequence(), 0, Message.Load.NONE, Map.of()));
+    } else {
+      received.add(message);
+    }
+  }
+
+  @Override
+  public void onClosed(WireConnection from, @Nullable Throwable cause) {
+    closed.countDown();
+  }
+
+  void send(Message message) {
+    connection.send(message);
+  }
+
+  /** Waits for the next message, which must be of the given type. */
+  <T extends Message> T next(Class<T> type) throws InterruptedException {
+    Message message = received.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+    assertThat(message).isInstanceOf(type);
+    return type.cast(message);
+  }
+
+  /** Returns whether no message has arrived that wasn't read. */
+  boolean quiet() {
+    return received.isEmpty();
+  }
+
+  /** Waits until the agent closes the connection. */
+  boolean awaitClosed() throws InterruptedException {
+    return closed.await(WAIT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  static Message.Call idempotent(long stream, long remainingMillis) {
+    return call(stream, remainingMillis, true, null, false, 0, 0);
+  }
+
+  static Message.Call streaming(long stream, int credits, long resumeFrom) {
+    return call(stream, 10_000, true, null, true, credits, resumeFrom);
+  }
+
+  static Message.Call keyed(long stream, long remainingMillis, String key) {
+    return call(stream, remainingMillis, false, key, false, 0, 0);
+  }
+
+  private static Message.Call call(
+      long stream,
+      long remainingMillis,
+      boolean idempotent,
+      @Nullable String key,
+      boolean streaming,
+      int credits,
+      long resumeFrom) {
+    return new Message.Call(
+        stream,
+        "request-" + stream,
+        0,
+        0,
+        "workspace-1",
+        "firm-1",
+        "pipeline-1",
+        5,
+        remainingMillis,
+        "operation-1",
+        idempotent,
+        key,
+        7,
+        resumeFrom,
+        credits,
+        streaming,
+        "{\"input\":{\"prompt\":\"p\",\"model\":\"m\"},\"context\":null}"
+            .getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Override
+  public void close() {
+    connection.close();
+    client.close();
+  }
+}
