Tolerate odd host list entries and name settings like the agent

Cause: one entry of the host list with an unknown state made the whole list useless, and settings of the entry were spelled unlike those of the agent. Change: an unknown state counts as live; settings are in snake case and end in _millis; an agent without a name in the settings is known by the host in its process name. Conclusion: connections decide; the list only proposes.

--- a/entry/src/main/java/org/oriolewell/entry/AgentDirectory.java
+++ b/entry/src/main/java/org/oriolewell/entry/AgentDirectory.java
@@ -189,13 +189,18 @@
       return false;
     }
     configVersion = document.version();
-    for (String name : links.keySet()) {
-      UpstreamSpec upstream = document.upstreams().get(name);
-      membership.configuredDraining(name, upstream != null && upstream.draining());
-    }
+    links.values().forEach(link -> applyConfig(link, document));
     return true;
   }
 
+  private void applyConfig(AgentLink link, ConfigDocument document) {
+    UpstreamSpec upstream = document.upstreams().get(link.name());
+    if (upstream == null) {
+      upstream = document.upstreams().get(link.host());
+    }
+    membership.configuredDraining(link.name(), upstream != null && upstream.draining());
+  }
+
   /** Gives each pool's router its members again. */
   private void refresh() {
     Map<String, List<Member>> candidates = new HashMap<>();
@@ -240,9 +245,7 @@
   public synchronized void connected(AgentLink link, String process, Message.Load load) {
     if (links.get(link.name()) == link) {
       membership.connected(link.name(), process, load.draining());
-      UpstreamSpec upstream =
-          config.current().map(document -> document.upstreams().get(link.name())).orElse(null);
-      membership.configuredDraining(link.name(), upstream != null && upstream.draining());
+      config.current().ifPresent(document -> applyConfig(link, document));
       refresh();
     }
   }
@@ -294,7 +297,7 @@
     return Optional.ofNullable(owner);
   }
 
-  /** Returns the connected agent whose name, process name or address is a word of a text. */
+  /** Returns the connected agent whose name, host, process or address is a word of a text. */
   Optional<AgentLink> named(@Nullable String text) {
     if (text == null) {
       return Optional.empty();
@@ -307,6 +310,7 @@
     String address = link.address().getHostString() + ":" + link.address().getPort();
     return link.peer().isPresent()
         && (words.contains(link.name())
+            || words.contains(link.host())
             || words.contains(link.processName())
             || words.contains(address));
   }
--- a/entry/src/main/java/org/oriolewell/entry/AgentLink.java
+++ b/entry/src/main/java/org/oriolewell/entry/AgentLink.java
@@ -77,6 +77,16 @@
     return name;
   }
 
+  /**
+   * Returns the host that the agent names as its own, from a process name of the form {@code
+   * host-incarnation}; before it is connected, the name of this link.
+   */
+  String host() {
+    String process = processName();
+    int end = process.lastIndexOf('-');
+    return end > 0 ? process.substring(0, end) : name;
+  }
+
   InetSocketAddress address() {
     return address;
   }
--- a/entry/src/main/java/org/oriolewell/entry/EntrySettings.java
+++ b/entry/src/main/java/org/oriolewell/entry/EntrySettings.java
@@ -18,12 +18,12 @@
       Setting.integer("callers.port", 8080, 0, 65535, "TCP port of the callers' API.");
   static final Setting<Integer> BODY_LIMIT =
       Setting.integer(
-          "callers.body-limit-bytes", 1 << 20, 1024, 16 << 20, "Largest accepted body, in bytes.");
+          "callers.body_limit_bytes", 1 << 20, 1024, 16 << 20, "Largest accepted body, in bytes.");
   static final Setting<Integer> MAX_REQUESTS =
       Setting.integer(
-          "callers.max-requests", 20_000, 1, 1_000_000, "Most requests in flight at one time.");
+          "callers.max_requests", 20_000, 1, 1_000_000, "Most requests in flight at one time.");
   static final Setting<Duration> MAX_DEADLINE =
-      millis("callers.max-deadline-ms", 60_000, 1, 3_600_000, "Longest accepted deadline.");
+      millis("callers.max_deadline_millis", 60_000, 1, 3_600_000, "Longest accepted deadline.");
   static final Setting<String> OPERATORS_ADDRESS =
       Setting.string("operators.address", "127.0.0.1", "Address of the operators' port.");
   static final Setting<Integer> OPERATORS_PORT =
@@ -31,41 +31,54 @@
   static final Setting<String> STORE_URL =
       Setting.string("store.url", "", "URL of the key-value service; empty for none.");
   static final Setting<Duration> STORE_TIMEOUT =
-      millis("store.timeout-ms", 1000, 10, 60_000, "Time after which a store call has failed.");
+      millis("store.timeout_millis", 1000, 10, 60_000, "Time after which a store call has failed.");
   static final Setting<Duration> CONFIG_POLL =
-      millis("store.config-poll-ms", 1000, 50, 60_000, "Time between reads of the configuration.");
+      millis(
+          "store.config_poll_millis", 1000, 50, 60_000, "Time between reads of the configuration.");
   static final Setting<String> HOST_LIST_URL =
       Setting.string("hosts.url", "", "URL of the host list; empty for none.");
   static final Setting<Duration> HOST_LIST_POLL =
-      millis("hosts.poll-ms", 1000, 50, 60_000, "Time between reads of the host list.");
+      millis("hosts.poll_millis", 1000, 50, 60_000, "Time between reads of the host list.");
   static final Setting<Duration> HOST_LIST_TIMEOUT =
-      millis("hosts.timeout-ms", 1000, 10, 60_000, "Time after which a host list call has failed.");
+      millis(
+          "hosts.timeout_millis",
+          1000,
+          10,
+          60_000,
+          "Time after which a host list call has failed.");
   static final Setting<List<String>> AGENTS =
       Setting.strings(
           "agents.static", List.of(), "Agents as NAME@IP:PORT or IP:PORT, besides the host list.");
   static final Setting<Duration> PING =
-      millis("agents.ping-ms", 250, 10, 10_000, "Time between heartbeats.");
+      millis("agents.ping_millis", 250, 10, 10_000, "Time between heartbeats.");
   static final Setting<Duration> DEAD =
-      millis("agents.dead-ms", 750, 30, 60_000, "Time without PONG after which an agent is dead.");
+      millis(
+          "agents.dead_millis", 750, 30, 60_000, "Time without PONG after which an agent is dead.");
   static final Setting<Duration> CONNECT_TIMEOUT =
-      millis("agents.connect-timeout-ms", 500, 10, 60_000, "Longest time to open a connection.");
+      millis(
+          "agents.connect_timeout_millis", 500, 10, 60_000, "Longest time to open a connection.");
   static final Setting<Duration> FIRST_REDIAL =
-      millis("agents.first-redial-ms", 200, 1, 60_000, "Longest wait before the first redial.");
+      millis("agents.first_redial_millis", 200, 1, 60_000, "Longest wait before the first redial.");
   static final Setting<Integer> FRAME_LIMIT =
       Setting.integer(
-          "agents.frame-limit-bytes", 1 << 20, 1024, 64 << 20, "Largest frame, in bytes.");
+          "agents.frame_limit_bytes", 1 << 20, 1024, 64 << 20, "Largest frame, in bytes.");
   static final Setting<Duration> FIRST_BACKOFF =
-      millis("retries.first-backoff-ms", 10, 1, 10_000, "Longest delay before the first retry.");
+      millis(
+          "retries.first_backoff_millis", 10, 1, 10_000, "Longest delay before the first retry.");
   static final Setting<Duration> MAX_BACKOFF =
-      millis("retries.max-backoff-ms", 200, 1, 60_000, "Longest delay before any retry.");
+      millis("retries.max_backoff_millis", 200, 1, 60_000, "Longest delay before any retry.");
   static final Setting<Duration> NO_UPSTREAM_WAIT =
       millis(
-          "retries.no-upstream-wait-ms", 300, 0, 60_000, "How long a stage waits for an upstream.");
+          "retries.no_upstream_wait_millis",
+          300,
+          0,
+          60_000,
+          "How long a stage waits for an upstream.");
   static final Setting<Double> RETRY_RATIO =
       Setting.number("retries.ratio", 0.1, 0, 1, "Second attempts for each first attempt.");
   static final Setting<Double> RETRY_RATE =
       Setting.number(
-          "retries.per-second", 2, 0, 10_000, "Second attempts per second allowed in any case.");
+          "retries.per_second", 2, 0, 10_000, "Second attempts per second allowed in any case.");
   static final Setting<Integer> RETRY_BURST =
       Setting.integer(
           "retries.burst",
@@ -78,22 +91,23 @@
           "streams.credits", 64, 1, 10_000, "Frames that an agent may send ahead of the caller.");
   static final Setting<Duration> STREAM_GRACE =
       millis(
-          "streams.grace-ms",
+          "streams.grace_millis",
           1000,
           0,
           60_000,
           "Time in which a caller that lost its stream may resume before the work is canceled.");
   static final Setting<Duration> STREAM_KEEP =
-      millis("streams.keep-ms", 10_000, 0, 600_000, "How long a finished stream can be resumed.");
+      millis(
+          "streams.keep_millis", 10_000, 0, 600_000, "How long a finished stream can be resumed.");
   static final Setting<Integer> STREAM_KEPT_TOKENS =
       Setting.integer(
-          "streams.kept-tokens", 500_000, 0, 100_000_000, "Most tokens kept of finished streams.");
+          "streams.kept_tokens", 500_000, 0, 100_000_000, "Most tokens kept of finished streams.");
   static final Setting<Duration> SETTLE_TIMEOUT =
-      millis("callers.settle-timeout-ms", 5000, 1, 60_000, "Longest time to settle a key.");
+      millis("callers.settle_timeout_millis", 5000, 1, 60_000, "Longest time to settle a key.");
   static final Setting<Duration> STOP_TIMEOUT =
-      millis("stop.timeout-ms", 60_000, 0, 600_000, "Longest time for a planned stop.");
+      millis("stop.timeout_millis", 60_000, 0, 600_000, "Longest time for a planned stop.");
   static final Setting<Double> LOG_SAMPLING =
-      Setting.number("log.routing-sampling", 1.0, 0, 1, "Part of the routing decisions logged.");
+      Setting.number("log.routing_sampling", 1.0, 0, 1, "Part of the routing decisions logged.");
 
   static final SettingsSpec SPEC =
       SettingsSpec.of(
--- a/entry/src/test/java/org/oriolewell/entry/BadInputTest.java
+++ b/entry/src/test/java/org/oriolewell/entry/BadInputTest.java
@@ -24,7 +24,7 @@
   @Test
   void everyFaultHasItsOwnProblemAndReachesNoAgent() throws Exception {
     try (FakeAgent agent = FakeAgent.start("enc-1", "encoders", (a, from, message) -> {});
-        TestBed bed = TestBed.start("callers.body-limit-bytes = 4096", agent)) {
+        TestBed bed = TestBed.start("callers.body_limit_bytes = 4096", agent)) {
       final String good = TestBed.body("encode", DEADLINE);
       assertRefused(bed, "{\"pipeline\":", 400, "invalid-request");
       assertRefused(bed, "[1]", 400, "invalid-request");
--- a/entry/src/test/java/org/oriolewell/entry/NonIdempotentTest.java
+++ b/entry/src/test/java/org/oriolewell/entry/NonIdempotentTest.java
@@ -235,7 +235,7 @@
           }
         };
     try (FakeAgent owner = owner("led-1", settling);
-        TestBed bed = TestBed.start("callers.settle-timeout-ms = 300", owner)) {
+        TestBed bed = TestBed.start("callers.settle_timeout_millis = 300", owner)) {
       String question =
           "{\"pipeline\":\"payout\",\"workspace\":\"w\",\"idempotency_key\":\"" + KEY + "\"}";
       HttpResponse<String> response = bed.settle(question);
@@ -258,7 +258,7 @@
         };
     try (FakeAgent one = FakeAgent.start("enc-1", "encoders", echo);
         FakeAgent two = FakeAgent.start("enc-2", "encoders", echo);
-        TestBed bed = TestBed.start("log.routing-sampling = 0", one, two)) {
+        TestBed bed = TestBed.start("log.routing_sampling = 0", one, two)) {
       CompletableFuture<?>[] all = new CompletableFuture<?>[200];
       for (int i = 0; i < all.length; i++) {
         all[i] =
--- a/entry/src/test/java/org/oriolewell/entry/RetryTest.java
+++ b/entry/src/test/java/org/oriolewell/entry/RetryTest.java
@@ -58,7 +58,7 @@
     try (FakeAgent agent =
             FakeAgent.start("enc-1", "encoders", refusing(Message.RefusalKind.UPSTREAM_FAILED));
         TestBed bed =
-            TestBed.start("retries.burst = 5\nretries.ratio = 0\nretries.per-second = 0", agent)) {
+            TestBed.start("retries.burst = 5\nretries.ratio = 0\nretries.per_second = 0", agent)) {
       HttpResponse<String> response = bed.post(BODY);
 
       assertThat(response.statusCode()).isEqualTo(502);
@@ -72,7 +72,7 @@
   void hangingAgentIsFoundDeadAndItsCallGoesElsewhere() throws Exception {
     FakeAgent.Script hanging = (agent, from, message) -> agent.silent = true;
     try (FakeAgent one = FakeAgent.start("enc-1", "encoders", hanging);
-        TestBed bed = TestBed.start("retries.no-upstream-wait-ms = 5000", one)) {
+        TestBed bed = TestBed.start("retries.no_upstream_wait_millis = 5000", one)) {
       one.script(
           (agent, from, message) -> {
             if (agent.received(Message.Call.class).size() == 1) {
--- a/entry/src/test/java/org/oriolewell/entry/StreamTest.java
+++ b/entry/src/test/java/org/oriolewell/entry/StreamTest.java
@@ -129,7 +129,7 @@
           }
         };
     try (FakeAgent agent = FakeAgent.start("eng-1", "engines", slow);
-        TestBed bed = TestBed.start("streams.grace-ms = 0\nstreams.credits = 4", agent)) {
+        TestBed bed = TestBed.start("streams.grace_millis = 0\nstreams.credits = 4", agent)) {
       try (Socket caller = open(bed, TestBed.body("draft", STREAM))) {
         assertThat(new InputStreamReader(caller.getInputStream(), StandardCharsets.UTF_8).read())
             .isEqualTo('H');
--- a/runtime/src/main/java/org/oriolewell/runtime/platform/HttpHostList.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/platform/HttpHostList.java
@@ -76,8 +76,13 @@
               node.path("zone").asText(),
               node.path("region").asText(),
               node.path("firm").asText(),
-              State.valueOf(node.path("state").asText("live").toUpperCase(Locale.ROOT))));
+              state(node.path("state").asText("live"))));
     }
     return List.copyOf(hosts);
   }
+
+  /** An unknown state counts as live, since one odd entry must not make the whole list useless. */
+  private static State state(String text) {
+    return text.toUpperCase(Locale.ROOT).equals(State.LEAVING.name()) ? State.LEAVING : State.LIVE;
+  }
 }
