--- a/runtime/src/main/java/org/oriolewell/runtime/log/RuntimeEvent.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/log/RuntimeEvent.java
@@ -20,6 +20,11 @@
       "The key-value service did not answer; the process goes on with what it knows."),
   HOST_LIST_UNAVAILABLE(
       1021, Level.WARNING, "The host list did not answer; the last known list stays in use."),
+  CERTIFICATES_LOADED(1040, Level.INFO, "Replaced certificate files were loaded."),
+  CERTIFICATES_REFUSED(
+      1041,
+      Level.SEVERE,
+      "Replaced certificate files are malformed; the old ones stay in use. Mend the files."),
   HANDLER_FAILED(1030, Level.SEVERE, "An HTTP handler failed; report it as a defect.");
 
   private final int number;
