--- a/core/src/main/java/org/oriolewell/core/admission/ServiceTimes.java
+++ b/core/src/main/java/org/oriolewell/core/admission/ServiceTimes.java
@@ -20,7 +20,8 @@
       mean[1] += GAIN * (Math.abs(nanos - mean[0]) - mean[1]);
       mean[0] += GAIN * (nanos - mean[0]);
     } else if (means.size() < MAX_OPERATIONS) {
-      means.put(operation, new double[] {nanos, nanos / 2.0});
+      // A deviation that is not known yet refuses nothing.
+      means.put(operation, new double[] {nanos, 0});
     }
   }
 
