--- a/bench/src/test/java/org/oriolewell/bench/AdmissionBenchmark.java
+++ b/bench/src/test/java/org/oriolewell/bench/AdmissionBenchmark.java
@@ -71,6 +71,12 @@
     return carryOut(admission.finished(running.remove(), Ending.ANSWERED, now));
   }
 
+  /** One call offered while the queue is full, which drops a call. */
+  @Benchmark
+  public void offerToFullQueue() {
+    offer();
+  }
+
   /** One tick with 256 calls in the queue, none of them late. */
   @Benchmark
   public List<Verdict<Long>> tick() {
--- a/core/src/main/java/org/oriolewell/core/admission/Admission.java
+++ b/core/src/main/java/org/oriolewell/core/admission/Admission.java
@@ -245,11 +245,13 @@
       Queued<T> item, WorkspaceQueue<T> own, double wait, List<Verdict<T>> verdicts) {
     WorkspaceQueue<T> longest = own;
     double most = excess(own, 1);
-    for (WorkspaceQueue<T> other : workspaces.values()) {
-      double excess = other == own ? 0 : excess(other, 0);
-      if (excess > most) {
-        most = excess;
-        longest = other;
+    for (FirmQueue<T> firm : firms.values()) {
+      for (WorkspaceQueue<T> other : firm.waiting()) {
+        double excess = other == own ? 0 : excess(other, 0);
+        if (excess > most) {
+          most = excess;
+          longest = other;
+        }
       }
     }
     Queued<T> least = longest.isEmpty() ? item : longest.least();
--- a/core/src/main/java/org/oriolewell/core/admission/FirmQueue.java
+++ b/core/src/main/java/org/oriolewell/core/admission/FirmQueue.java
@@ -34,6 +34,11 @@
     return waitingWeight;
   }
 
+  /** Returns the workspaces with waiting calls, for iteration only. */
+  Iterable<WorkspaceQueue<T>> waiting() {
+    return waiting;
+  }
+
   void add(WorkspaceQueue<T> workspace, Queued<T> item) {
     if (workspace.isEmpty()) {
       workspace.tag = Math.max(workspace.tag, virtualTime);
--- a/core/src/main/java/org/oriolewell/core/deadline/DeadlinePlanner.java
+++ b/core/src/main/java/org/oriolewell/core/deadline/DeadlinePlanner.java
@@ -8,7 +8,7 @@
 
 /** Splits the remaining time of a request over its remaining stages. Not thread-safe. */
 public final class DeadlinePlanner {
-  /** Samples before a stage's measured times are used. */
+  /** Samples before a stage's measured times are used, and between updates of its quantiles. */
   private static final int MIN_SAMPLES = 20;
 
   /** Samples after which older ones count half. */
@@ -26,7 +26,7 @@
    */
   private static final double NEED_QUANTILE = 0.1;
 
-  private final Map<StageKey, LatencyHistogram> times = new HashMap<>();
+  private final Map<StageKey, StageTimes> times = new HashMap<>();
 
   private DeadlinePlanner() {}
 
@@ -37,7 +37,7 @@
 
   /** Records the time of an answered stage, in nanoseconds, from its call to its answer. */
   public void observed(StageKey stage, long nanos) {
-    times.computeIfAbsent(stage, key -> LatencyHistogram.create(WINDOW)).record(nanos);
+    times.computeIfAbsent(stage, key -> new StageTimes()).record(nanos);
   }
 
   /** Forgets a stage that the configuration no longer has. */
@@ -69,26 +69,41 @@
 
   /** Returns the wait after which an attempt of the stage is a straggler; empty if not measured. */
   public OptionalLong hedgeDelay(StageKey stage) {
-    LatencyHistogram histogram = measured(stage);
-    return histogram == null
-        ? OptionalLong.empty()
-        : OptionalLong.of(histogram.quantile(SHARE_QUANTILE));
+    StageTimes measured = measured(stage);
+    return measured == null ? OptionalLong.empty() : OptionalLong.of(measured.high);
   }
 
   private double share(StageKey stage) {
-    LatencyHistogram histogram = measured(stage);
-    long known = histogram == null ? DEFAULT_NANOS : histogram.quantile(SHARE_QUANTILE);
+    StageTimes measured = measured(stage);
+    long known = measured == null ? DEFAULT_NANOS : measured.high;
     return Math.max(1, Math.max(stage.minNanos(), known));
   }
 
   private long need(StageKey stage) {
-    LatencyHistogram histogram = measured(stage);
-    long known = histogram == null ? 0 : histogram.quantile(NEED_QUANTILE);
+    StageTimes measured = measured(stage);
+    long known = measured == null ? 0 : measured.low;
     return Math.max(stage.minNanos(), known);
   }
 
-  private @Nullable LatencyHistogram measured(StageKey stage) {
-    LatencyHistogram histogram = times.get(stage);
-    return histogram == null || histogram.count() < MIN_SAMPLES ? null : histogram;
+  private @Nullable StageTimes measured(StageKey stage) {
+    StageTimes found = times.get(stage);
+    return found == null || found.histogram.count() < MIN_SAMPLES ? null : found;
+  }
+
+  /** Times of a stage, with the two quantiles kept so that a plan needn't search the histogram. */
+  private static final class StageTimes {
+    private final LatencyHistogram histogram = LatencyHistogram.create(WINDOW);
+    private int untilRefresh = MIN_SAMPLES;
+    private long low;
+    private long high;
+
+    private void record(long nanos) {
+      histogram.record(nanos);
+      if (--untilRefresh <= 0) {
+        untilRefresh = MIN_SAMPLES;
+        low = histogram.quantile(NEED_QUANTILE);
+        high = histogram.quantile(SHARE_QUANTILE);
+      }
+    }
   }
 }
