--- /dev/null
+++ b/runtime/src/main/java/org/oriolewell/runtime/admin/AdminEvent.java
@@ -0,0 +1,49 @@
+package org.oriolewell.runtime.admin;
+
+import java.util.logging.Level;
+import org.oriolewell.runtime.log.LogEvent;
+
+/** Log events of the admin API; those of changes are the audit. */
+public enum AdminEvent implements LogEvent {
+  CHANGE_ACCEPTED(
+      4020,
+      Level.INFO,
+      "An operator's command was accepted; the fields name the operator, the command, and the"
+          + " objects before and after."),
+  CHANGE_REJECTED(
+      4021, Level.INFO, "An operator's command was rejected; the field detail says why."),
+  CHANGE_UNKNOWN(
+      4022,
+      Level.WARNING,
+      "The outcome of an operator's command is not known; it is settled by its command id."),
+  ADMIN_UNAUTHORIZED(
+      4023, Level.WARNING, "A call of the admin API had no valid token; check who calls."),
+  ADMIN_FORBIDDEN(
+      4024, Level.WARNING, "An operator's token lacks the right for a call of the admin API."),
+  ADMIN_FAILED(4025, Level.SEVERE, "A call of the admin API failed; report it as a defect.");
+
+  private final int number;
+  private final Level level;
+  private final String meaning;
+
+  AdminEvent(int number, Level level, String meaning) {
+    this.number = number;
+    this.level = level;
+    this.meaning = meaning;
+  }
+
+  @Override
+  public int number() {
+    return number;
+  }
+
+  @Override
+  public Level level() {
+    return level;
+  }
+
+  @Override
+  public String meaning() {
+    return meaning;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/oriolewell/runtime/admin/QueryPeer.java
@@ -0,0 +1,16 @@
+package org.oriolewell.runtime.admin;
+
+import org.oriolewell.runtime.wire.Message;
+
+/** A connected process that questions can be sent to. */
+public interface QueryPeer {
+  /** Returns the name of the process. */
+  String process();
+
+  /**
+   * Queues a message without blocking.
+   *
+   * @return false if the connection is closed
+   */
+  boolean send(Message message);
+}
