--- a/loadtool/src/main/java/org/oriolewell/loadtool/AnswerDecoder.java
+++ b/loadtool/src/main/java/org/oriolewell/loadtool/AnswerDecoder.java
@@ -15,6 +15,9 @@
  * lines of JSON of an engine.
  */
 final class AnswerDecoder {
+  /** Kind of an answer without output, as the settling of a key that ran gives it. */
+  static final String NO_OUTPUT = "no-output";
+
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final String PROBLEM_PREFIX = "urn:oriolewell:problem:";
 
@@ -123,7 +126,7 @@
     boolean whole = defect == null && body.hasNonNull("output");
     return whole
         ? result(Outcome.ANSWERED, "", body)
-        : result(Outcome.BROKEN, defect == null ? "no-output" : defect, body);
+        : result(Outcome.BROKEN, defect == null ? NO_OUTPUT : defect, body);
   }
 
   private CallResult streamed() {
--- a/loadtool/src/main/java/org/oriolewell/loadtool/LoadRun.java
+++ b/loadtool/src/main/java/org/oriolewell/loadtool/LoadRun.java
@@ -176,13 +176,21 @@
         .settle(pending.arrival, pending.key, SETTLE_MILLIS)
         .thenAccept(
             settled -> {
-              boolean known =
-                  settled.outcome() == Outcome.NOT_RUN || settled.outcome() == Outcome.ANSWERED;
               pending.settledNotRun = settled.outcome() == Outcome.NOT_RUN;
-              end(pending, known ? settled : result);
+              end(pending, settledResult(settled, result));
             });
   }
 
+  /** Returns what a caller knows after settling; a settled key doesn't bring back the output. */
+  private static CallResult settledResult(CallResult settled, CallResult before) {
+    if (settled.outcome() == Outcome.NOT_RUN) {
+      return CallResult.without(Outcome.NOT_RUN, "settled-not-run");
+    }
+    return settled.kind().equals(AnswerDecoder.NO_OUTPUT)
+        ? CallResult.without(Outcome.UNKNOWN, "settled-answered")
+        : before;
+  }
+
   private void end(Pending pending, CallResult result) {
     if (pending.arrival.offsetNanos() >= workload.warmup().toNanos()) {
       long firstToken = result.firstTokenNanos();
