--- a/entry/src/main/java/org/oriolewell/entry/Entry.java
+++ b/entry/src/main/java/org/oriolewell/entry/Entry.java
@@ -173,13 +173,17 @@
 
   private CallersApi callersApi() {
     CallRouter router = new CallRouter(agents, value(EntrySettings.LOG_SAMPLING), random, log);
+    RetryBudgetSettings defaults = RetryBudgetSettings.defaults();
     RetryBudgetSettings retries =
         new RetryBudgetSettings(
             value(EntrySettings.RETRY_RATIO),
             value(EntrySettings.RETRY_RATE),
             value(EntrySettings.RETRY_BURST),
             value(EntrySettings.RETRY_RATE) / 4,
-            value(EntrySettings.RETRY_BURST) * 0.4);
+            value(EntrySettings.RETRY_BURST) * 0.4,
+            defaults.hedgeRatio(),
+            defaults.hedgeMinPerSecond(),
+            defaults.hedgeBurst());
     RunContext context =
         new RunContext(
             router,
