Run non-idempotent calls in shards and add drain and planned stop

Non-idempotent calls were refused. The agent now hosts the shards' state machine: it reads and writes their records, asks dialers for permission, probes a recorded owner before it claims a shard, and records the outcome of granted calls whose dialer has gone. A state chart governs drain by configuration and planned stop, which finish calls and release shards.

--- a/agent/src/main/java/org/oriolewell/agent/Agent.java
+++ b/agent/src/main/java/org/oriolewell/agent/Agent.java
@@ -11,10 +11,11 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntPredicate;
 import org.eclipse.jetty.client.HttpClient;
+import org.oriolewell.core.config.UpstreamSpec;
+import org.oriolewell.core.drain.DrainSettings;
 import org.oriolewell.runtime.http.JsonServer;
 import org.oriolewell.runtime.http.OperatorsPort;
 import org.oriolewell.runtime.log.EventLog;
@@ -23,6 +24,7 @@
 import org.oriolewell.runtime.platform.KeyValueStore;
 import org.oriolewell.runtime.settings.Settings;
 import org.oriolewell.runtime.wire.Message;
+import org.oriolewell.runtime.wire.WireClient;
 import org.oriolewell.runtime.wire.WireServer;
 
 /**
@@ -33,6 +35,7 @@
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final int OPERATORS_BODY_BYTES = 64 << 10;
   private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration LINGER = Duration.ofMillis(100);
 
   private final Settings settings;
   private final EventLog log;
@@ -42,10 +45,10 @@
   private final WireServer wire;
   private final JsonServer operators;
   private final Service service = new Service();
-  private final NonIdempotentCalls nonIdempotent = new NoNonIdempotentCalls();
+  private final WireClient probes;
+  private final Shards nonIdempotent;
+  private final DrainControl drain;
   private final Set<Dialer> dialers = new LinkedHashSet<>();
-  private final CountDownLatch idle = new CountDownLatch(1);
-  private volatile boolean draining;
 
   private Agent(Settings settings, InstantSource clock) {
     this.settings = settings;
@@ -72,6 +75,25 @@
             upstream(status -> config.notExecuted(identity.pool(), status)),
             config,
             settings.value(AgentSettings.FRAME_BYTES));
+    probes =
+        WireClient.start(
+            settings.value(AgentSettings.PROBE_TIMEOUT), context.maxFrameBytes(), null);
+    nonIdempotent =
+        new Shards(
+            context,
+            new ShardStore(store, context.metrics(), log),
+            AgentSettings.shardSettings(settings),
+            this::address,
+            () ->
+                new OwnerProbe(
+                    probes, settings.value(AgentSettings.PROBE_TIMEOUT), service.hello()));
+    drain =
+        new DrainControl(
+            context,
+            new DrainSettings(
+                settings.value(AgentSettings.STOP_MAX), settings.value(AgentSettings.RELEASE_MAX)),
+            nonIdempotent,
+            this::openCalls);
     wire =
         WireServer.of(
             new InetSocketAddress(
@@ -90,7 +112,7 @@
                 OPERATORS_BODY_BYTES,
                 log),
             context.metrics().registry(),
-            () -> !draining,
+            drain::accepting,
             () -> loop.ask(this::status));
     context.metrics().watch(() -> loop.ask(service::load));
   }
@@ -114,7 +136,15 @@
                         dialer.checkLiveness(
                             settings.value(AgentSettings.HEARTBEAT),
                             settings.value(AgentSettings.DIALER_TIMEOUT))));
-    agent.loop.every(TICK, () -> agent.context.admission().tick(agent.context.clock().instant()));
+    agent.loop.every(TICK, agent::tick);
+    agent
+        .context
+        .config()
+        .onChange(
+            document -> {
+              UpstreamSpec spec = agent.context.config().upstream(agent.context.identity().host());
+              agent.drain.configured(spec != null && spec.draining());
+            });
     agent
         .log
         .event(RuntimeEvent.STARTED)
@@ -142,6 +172,16 @@
     };
   }
 
+  private void tick() {
+    context.admission().tick(context.clock().instant());
+    nonIdempotent.tick();
+    drain.tick();
+  }
+
+  private String address() {
+    return settings.value(AgentSettings.WIRE_ADDRESS) + ":" + wireAddress().getPort();
+  }
+
   /** Returns the bound address for entries. */
   public InetSocketAddress wireAddress() {
     return wire.address();
@@ -165,6 +205,7 @@
     status.put("region", identity.region());
     status.put("config_version", context.config().current().version());
     status.put("draining", load.draining());
+    status.put("drain_state", drain.state());
     status.put("in_flight", load.inFlight());
     status.put("queued", load.queued());
     status.put("limit", load.limit());
@@ -181,26 +222,23 @@
   @Override
   public void close() {
     log.event(RuntimeEvent.STOPPING).write();
-    loop.execute(
-        () -> {
-          draining = true;
-          service.callEnded();
-        });
-    awaitIdle();
+    loop.execute(drain::stop);
+    awaitExit();
     wire.close();
     operators.close();
+    probes.close();
     context.config().close();
     loop.close();
     HttpClients.stop(http);
     log.event(RuntimeEvent.STOPPED).write();
   }
 
-  private void awaitIdle() {
-    Duration max = settings.value(AgentSettings.STOP_MAX);
+  /** Waits until the drain's state machine ends the process; its time limits bound the wait. */
+  private void awaitExit() {
     try {
-      if (!idle.await(max.toMillis(), TimeUnit.MILLISECONDS)) {
-        log.event(AgentEvent.DRAIN_TIMED_OUT).write();
-      }
+      drain.exit().await();
+      // Answers that were just sent reach the network, and late calls are still refused as not run.
+      TimeUnit.MILLISECONDS.sleep(LINGER.toMillis());
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -219,19 +257,17 @@
 
     @Override
     public void callEnded() {
-      if (draining && openCalls() == 0) {
-        idle.countDown();
-      }
+      drain.callEnded();
     }
 
     @Override
     public boolean draining() {
-      return draining;
+      return !drain.accepting();
     }
 
     @Override
     public Message.Load load() {
-      return context.admission().load(draining);
+      return context.admission().load(!drain.accepting());
     }
 
     @Override
--- a/agent/src/main/java/org/oriolewell/agent/AgentSettings.java
+++ b/agent/src/main/java/org/oriolewell/agent/AgentSettings.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.oriolewell.core.call.ShardSettings;
 import org.oriolewell.runtime.settings.Setting;
+import org.oriolewell.runtime.settings.Settings;
 import org.oriolewell.runtime.settings.SettingsSpec;
 import org.oriolewell.runtime.wire.WireConnection;
 
@@ -148,6 +150,60 @@
           Duration.ofMinutes(30),
           "Longest time that a planned stop waits for calls in flight.");
 
+  /** Longest wait for the release of shards. */
+  public static final Setting<Duration> RELEASE_MAX =
+      Setting.millis(
+          "stop.release_max_millis",
+          Duration.ofSeconds(2),
+          Duration.ofMillis(10),
+          Duration.ofMinutes(1),
+          "Longest time that a planned stop waits for the store to take back shards.");
+
+  /** Age from which a key is refused. */
+  public static final Setting<Duration> KEY_LIFETIME =
+      Setting.millis(
+          "calls.key_lifetime_millis",
+          ShardSettings.defaults().lifetime(),
+          Duration.ofSeconds(1),
+          Duration.ofDays(1),
+          "Age from which an idempotency key is refused; the same at all agents of a pool.");
+
+  /** How far an execution window reaches into the past. */
+  public static final Setting<Duration> WINDOW_LAG =
+      Setting.millis(
+          "calls.window_lag_millis",
+          ShardSettings.defaults().lag(),
+          Duration.ofMillis(100),
+          Duration.ofMinutes(10),
+          "How far an execution window reaches into the past.");
+
+  /** How far an execution window reaches into the future. */
+  public static final Setting<Duration> WINDOW_LEAD =
+      Setting.millis(
+          "calls.window_lead_millis",
+          ShardSettings.defaults().lead(),
+          Duration.ofMillis(100),
+          Duration.ofMinutes(1),
+          "How far an execution window reaches into the future.");
+
+  /** Time between two writes of a shard's record. */
+  public static final Setting<Duration> WRITE_INTERVAL =
+      Setting.millis(
+          "calls.write_interval_millis",
+          ShardSettings.defaults().interval(),
+          Duration.ofMillis(50),
+          Duration.ofMinutes(1),
+          "Time between two writes of a shard's record while calls arrive.");
+
+  /** Time after which a shard's silent owner counts as gone. */
+  public static final Setting<Duration> PROBE_TIMEOUT =
+      Setting.millis(
+          "calls.probe_timeout_millis",
+          Duration.ofMillis(500),
+          Duration.ofMillis(10),
+          Duration.ofSeconds(30),
+          "Time after which a shard's owner that does not answer a probe counts as gone.");
+
   /** All settings, in the order they are printed. */
   public static final SettingsSpec SPEC =
       SettingsSpec.of(
@@ -175,7 +231,26 @@
               CONFIG_POLL,
               QUEUE_SIZE,
               LIMIT,
-              STOP_MAX));
+              STOP_MAX,
+              RELEASE_MAX,
+              KEY_LIFETIME,
+              WINDOW_LAG,
+              WINDOW_LEAD,
+              WRITE_INTERVAL,
+              PROBE_TIMEOUT));
 
   private AgentSettings() {}
+
+  /** Returns the settings of shards. */
+  static ShardSettings shardSettings(Settings settings) {
+    ShardSettings defaults = ShardSettings.defaults();
+    return new ShardSettings(
+        settings.value(KEY_LIFETIME),
+        settings.value(WINDOW_LAG),
+        settings.value(WINDOW_LEAD),
+        settings.value(WRITE_INTERVAL),
+        defaults.maxSkew(),
+        defaults.segmentCalls(),
+        defaults.maxOutputBytes());
+  }
 }
--- a/agent/src/main/java/org/oriolewell/agent/Dialer.java
+++ b/agent/src/main/java/org/oriolewell/agent/Dialer.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.runtime.log.RuntimeEvent;
@@ -169,7 +170,13 @@
       return;
     }
     UpstreamCall call = read(message);
-    if (call != null) {
+    Optional<Refusal> refusal =
+        call == null || message.idempotent()
+            ? Optional.empty()
+            : service.nonIdempotent().check(call);
+    if (refusal.isPresent()) {
+      refuse(message, refusal.get());
+    } else if (call != null) {
       ActiveCall active =
           message.idempotent()
               ? new IdempotentCall(context, this, call)
@@ -254,6 +261,11 @@
         .write();
   }
 
+  /** Takes note that a call ended whose dialer had been answered before. */
+  void callEnded() {
+    service.callEnded();
+  }
+
   /** Returns the number of calls that have not ended. */
   int callCount() {
     return calls.size();
--- a/agent/src/main/java/org/oriolewell/agent/Loop.java
+++ b/agent/src/main/java/org/oriolewell/agent/Loop.java
@@ -92,8 +92,13 @@
     return () -> {
       try {
         task.run();
-      } catch (RuntimeException e) {
-        log.event(AgentEvent.TASK_FAILED).cause(e).write();
+      } catch (RuntimeException | Error e) {
+        // A periodic task that throws would never run again, and nobody would hear of it.
+        StackTraceElement[] trace = e.getStackTrace();
+        log.event(AgentEvent.TASK_FAILED)
+            .with("at", trace.length == 0 ? null : trace[0])
+            .cause(e)
+            .write();
       }
     };
   }
