--- a/runtime/src/main/java/org/oriolewell/runtime/http/HttpCall.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/http/HttpCall.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -76,7 +77,13 @@
 
   /** Starts a streamed answer; the body follows through {@link #write}. */
   public void startStream(int status, String contentType) {
+    startStream(status, contentType, Map.of());
+  }
+
+  /** Starts a streamed answer with further headers. */
+  public void startStream(int status, String contentType, Map<String, String> headers) {
     response.setStatus(status);
+    headers.forEach((name, value) -> response.getHeaders().put(name, value));
     response.getHeaders().put("Content-Type", contentType);
     response.getHeaders().put("Cache-Control", "no-store");
   }
@@ -123,6 +130,12 @@
     fail(cause);
   }
 
+  /** Closes the connection without an answer. Stand-ins use it to lose answers on purpose. */
+  public void drop() {
+    request.getConnectionMetaData().getConnection().getEndPoint().close();
+    fail(new EofException("the connection was closed without an answer"));
+  }
+
   void reply(HttpReply reply) {
     response.setStatus(reply.status());
     response.getHeaders().put("Content-Type", reply.contentType());
