--- /dev/null
+++ b/proofs/src/test/java/org/oriolewell/proofs/LogEventCatalogTest.java
@@ -0,0 +1,72 @@
+package org.oriolewell.proofs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.oriolewell.agent.AgentEvent;
+import org.oriolewell.ctl.CtlEvent;
+import org.oriolewell.entry.EntryEvent;
+import org.oriolewell.loadtool.LoadEvent;
+import org.oriolewell.runtime.admin.AdminEvent;
+import org.oriolewell.runtime.config.ConfigEvent;
+import org.oriolewell.runtime.log.LogEvent;
+import org.oriolewell.runtime.log.RuntimeEvent;
+import org.oriolewell.standins.StandinEvent;
+
+/**
+ * Guards against log events that the catalog lacks, and against entries for events that are gone.
+ */
+class LogEventCatalogTest {
+  private static final Path DOCS = Path.of("..", "docs");
+  private static final List<LogEvent[]> EVENTS =
+      List.of(
+          RuntimeEvent.values(),
+          EntryEvent.values(),
+          AgentEvent.values(),
+          ConfigEvent.values(),
+          AdminEvent.values(),
+          CtlEvent.values(),
+          StandinEvent.values(),
+          LoadEvent.values());
+
+  @Test
+  void catalogAndCodeListTheSameEvents() throws IOException {
+    Map<String, String> code = new TreeMap<>();
+    EVENTS.stream()
+        .flatMap(Stream::of)
+        .forEach(event -> assertThat(code.put(event.id(), row(event))).as(event.id()).isNull());
+
+    assertThat(catalog()).containsExactlyInAnyOrderElementsOf(code.values());
+  }
+
+  private static String row(LogEvent event) {
+    return "| "
+        + String.join(" | ", event.id(), event.name(), event.level().getName(), event.meaning())
+        + " |";
+  }
+
+  private static List<String> catalog() throws IOException {
+    try (Stream<Path> files = Files.list(DOCS)) {
+      return files
+          .filter(file -> file.getFileName().toString().startsWith("log-events"))
+          .flatMap(LogEventCatalogTest::rows)
+          .collect(Collectors.toList());
+    }
+  }
+
+  private static Stream<String> rows(Path file) {
+    try {
+      return Files.readAllLines(file).stream().filter(line -> line.startsWith("| OW-"));
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
