--- a/core/src/main/java/org/oriolewell/core/config/ConfigReplica.java
+++ b/core/src/main/java/org/oriolewell/core/config/ConfigReplica.java
@@ -26,6 +26,12 @@
   /** Peers that receive a new version's delta without asking. */
   static final int PUSH_FANOUT = 3;
 
+  /**
+   * Largest delta that is sent unasked, in bytes. Several peers may send the same delta, which
+   * matters for a large one.
+   */
+  static final int MAX_PUSH_BYTES = 8 << 10;
+
   /**
    * Time after which an unanswered question no longer prevents another. It's above the round trip
    * between regions (40 ms); with 250 ms, one busy peer could delay a version by two heartbeats.
@@ -172,8 +178,11 @@
       return List.of();
     }
     Optional<byte[]> delta = delta(fromVersion);
-    return List.of(
+    boolean small =
         delta.isPresent()
+            && (delta.get().length <= MAX_PUSH_BYTES || delta.get().length <= snapshot().length);
+    return List.of(
+        small
             ? new Action.SendDelta(peer, fromVersion, document.version(), delta.get())
             : new Action.SendSnapshot(peer, document.version(), snapshot()));
   }
@@ -189,6 +198,10 @@
     return deltas.computeIfAbsent(fromVersion, from -> ConfigDelta.encode(document, from, known));
   }
 
+  private byte[] pushed(long fromVersion) {
+    return delta(fromVersion).filter(bytes -> bytes.length <= MAX_PUSH_BYTES).orElse(NONE);
+  }
+
   private byte[] snapshot() {
     if (snapshot == null) {
       snapshot = ConfigJson.writeCompressed(document);
@@ -300,7 +313,7 @@
     int pushed = 0;
     for (Map.Entry<Long, Peer> entry : behind) {
       boolean push = entry.getValue().sameRegion && pushed < PUSH_FANOUT;
-      byte[] changes = push ? delta(entry.getValue().version).orElse(NONE) : NONE;
+      byte[] changes = push ? pushed(entry.getValue().version) : NONE;
       pushed += changes.length > 0 ? 1 : 0;
       long from = changes.length > 0 ? entry.getValue().version : document.version();
       actions.add(new Action.SendDelta(entry.getKey(), from, document.version(), changes));
