--- a/bench/src/test/java/org/oriolewell/bench/package-info.java
+++ b/bench/src/test/java/org/oriolewell/bench/package-info.java
@@ -1,4 +1,4 @@
-/** JMH benchmarks of the decisions; {@code bench/README.md} gives the commands. */
+/** JMH benchmarks of the decisions; docs/measurements.md gives the commands. */
 @NullMarked
 package org.oriolewell.bench;
 
