--- a/loadtool/src/main/java/org/oriolewell/loadtool/ReportText.java
+++ b/loadtool/src/main/java/org/oriolewell/loadtool/ReportText.java
@@ -129,14 +129,15 @@
     audit.path("contradictions").forEach(item -> line("  contradiction: %s", item));
   }
 
-  /** Lists the counters that are about stages or bytes; the others are in the JSON report. */
+  /** Lists the counters of stages, bytes and regions; the others are in the JSON report. */
   private void counters(JsonNode counters) {
     counters
         .properties()
         .forEach(
             e -> {
-              if (e.getKey().contains("stage=") || e.getKey().contains("bytes")) {
-                line("counter %s %.3f", e.getKey(), e.getValue().asDouble());
+              String name = e.getKey();
+              if (name.contains("stage=") || name.contains("bytes") || name.contains("region")) {
+                line("counter %s %.3f", name, e.getValue().asDouble());
               }
             });
   }
--- a/standins/src/test/java/org/oriolewell/standins/EngineStandinTest.java
+++ b/standins/src/test/java/org/oriolewell/standins/EngineStandinTest.java
@@ -13,7 +13,7 @@
 
 /** Guards against an engine that breaks the promises on which resume, cancel and orders rely. */
 class EngineStandinTest {
-  private static final String FAST = "step.base_ms = 1\nstep.per_sequence_ms = 0\n";
+  private static final String FAST = "step.base_ms = 1\n";
 
   private EngineStandin engine = EngineStandin.start(FAST + "orders.load_ms = 20");
 
@@ -88,6 +88,21 @@
     assertThat(low).isNotDone();
   }
 
+  /** Guards against an engine whose steps cost the same for one sequence as for a full batch. */
+  @Test
+  void stepTimeGrowsWithTheBatch() {
+    restart("step.per_sequence_ms = 5\nprefill.per_token_us = 0\nload.lag_ms = 10");
+    for (String id : List.of("a", "b", "c")) {
+      generate(id, 1_000_000, 0, 0);
+    }
+    Await.until(() -> Http.get(engine, "/v1/load").path("step_ms").doubleValue() == 16);
+
+    for (String id : List.of("a", "b")) {
+      Http.post(engine, "/v1/cancel", "{\"request_id\":\"" + id + "\"}");
+    }
+    Await.until(() -> Http.get(engine, "/v1/load").path("step_ms").doubleValue() == 6);
+  }
+
   /** Guards against a cut stream that looks whole. */
   @Test
   void cutStreamIsNotWhole() {
--- a/standins/src/test/java/org/oriolewell/standins/PrefixCacheTest.java
+++ b/standins/src/test/java/org/oriolewell/standins/PrefixCacheTest.java
@@ -30,6 +30,19 @@
     assertThat(cache.use(BLOCK + BLOCK)).isLessThan(2 * BLOCK_TOKENS);
   }
 
+  /** Guards against a cache that saves no prefill, and resumes that cost none. */
+  @Test
+  void cachedTokensAreNotReadAgain() {
+    String prompt = BLOCK + BLOCK + "four";
+    PrefixCache cache = new PrefixCache(10, (kind, block) -> {});
+    Sequence fresh = new Sequence("r", prompt, 0, 0, 0, 5, null);
+    Sequence resumed = new Sequence("r", prompt, 0, 0, 3, 5, null);
+
+    assertThat(fresh.prefillTokens(cache.use(prompt))).isEqualTo(2 * BLOCK_TOKENS + 1);
+    assertThat(fresh.prefillTokens(cache.use(prompt))).isEqualTo(1);
+    assertThat(resumed.prefillTokens(cache.use(prompt))).isEqualTo(4);
+  }
+
   /** Guards against events from which a reader would compute other contents than the cache's. */
   @Property(tries = 200, seed = "7")
   void eventsDescribeTheContents(
