Stop stand-ins at once

A closing JsonServer waits up to 5 s for calls in flight and logs the ones left as failed handlers. A stand-in that closes models a process that dies, so it now cuts them; JsonServer.abort does so.

--- a/runtime/src/main/java/org/oriolewell/runtime/http/JsonServer.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/http/JsonServer.java
@@ -148,6 +148,12 @@
     return this;
   }
 
+  /** Stops at once; calls in flight lose their connections, as if the process had died. */
+  public void abort() {
+    server.setStopTimeout(0);
+    close();
+  }
+
   @Override
   public void close() {
     try {
--- a/standins/src/main/java/org/oriolewell/standins/Standin.java
+++ b/standins/src/main/java/org/oriolewell/standins/Standin.java
@@ -23,6 +23,7 @@
   /** Returns what ran so far. */
   ExecutionLedger executions();
 
+  /** Stops at once; calls in flight lose their connections, as if the process had died. */
   @Override
   void close();
 }
--- a/standins/src/main/java/org/oriolewell/standins/StandinServer.java
+++ b/standins/src/main/java/org/oriolewell/standins/StandinServer.java
@@ -291,6 +291,6 @@
   @Override
   public void close() {
     timer.close();
-    servers.forEach(JsonServer::close);
+    servers.forEach(JsonServer::abort);
   }
 }
--- a/standins/src/test/java/org/oriolewell/standins/StandinsTest.java
+++ b/standins/src/test/java/org/oriolewell/standins/StandinsTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.Test;
 import org.oriolewell.runtime.platform.HostList;
@@ -88,6 +89,20 @@
     }
   }
 
+  /** Guards against a stand-in that answers its calls before it stops, unlike one that dies. */
+  @Test
+  void closeCutsCallsInFlight() {
+    PoolStandin pool = PoolStandin.start("service_time.median_ms = 600000");
+    final CompletableFuture<?> call = Http.send(pool, "POST", "/v1/process", "{\"operation\":\"x\"}");
+    Await.until(() -> pool.executions().total() == 1);
+
+    long start = System.nanoTime();
+    pool.close();
+
+    assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(4));
+    assertThat(call.handle((answer, failure) -> failure).join()).isNotNull();
+  }
+
   /** Guards against a page of log events that differs from the program. */
   @Test
   void logEventPageMatchesTheProgram() throws IOException {
