Take the configuration from the distribution and serve the admin API

Cause: polling the store from each entry misses the goal for the spread of changes. Change: ConfigService replaces the poller; agents' HELLO, PONG and configuration messages reach it, and the host list names the entries for the election of watchers. The admin API is on the operators' port, questions go over the links, and TLS from the settings covers all ports. Conclusion: an entry without a store can learn the configuration from agents.

--- a/entry/src/main/java/org/oriolewell/entry/AgentDirectory.java
+++ b/entry/src/main/java/org/oriolewell/entry/AgentDirectory.java
@@ -315,6 +315,14 @@
             || words.contains(address));
   }
 
+  /** Returns the connected agents. */
+  List<AgentPeer> peers() {
+    return links.values().stream()
+        .flatMap(link -> link.peer().stream())
+        .map(AgentLink.Peer::agent)
+        .toList();
+  }
+
   /** Returns all links. */
   Collection<AgentLink> links() {
     return links.values();
--- a/entry/src/main/java/org/oriolewell/entry/AgentLink.java
+++ b/entry/src/main/java/org/oriolewell/entry/AgentLink.java
@@ -40,28 +40,25 @@
 
   /** An agent that said HELLO, as it last described itself. */
   record Peer(
-      WireConnection connection,
-      String process,
-      String pool,
-      String zone,
-      String region,
-      Message.Load load,
-      Map<String, Long> shards,
-      long configVersion) {
+      AgentPeer agent, String pool, String zone, Message.Load load, Map<String, Long> shards) {
+    WireConnection connection() {
+      return agent.connection();
+    }
+
+    String process() {
+      return agent.process();
+    }
+
+    String region() {
+      return agent.region();
+    }
+
     private Peer with(Message.Load newLoad) {
-      return new Peer(connection, process, pool, zone, region, newLoad, shards, configVersion);
+      return new Peer(agent, pool, zone, newLoad, shards);
     }
 
     private Peer with(Message.Pong pong) {
-      return new Peer(
-          connection,
-          process,
-          pool,
-          zone,
-          region,
-          pong.load(),
-          pong.shards(),
-          pong.configVersion());
+      return new Peer(agent, pool, zone, pong.load(), pong.shards());
     }
   }
 
@@ -259,8 +256,9 @@
       } else if (message instanceof Message.Ping m) {
         long version = context.configVersion().getAsLong();
         from.send(new Message.Pong(m.sequence(), version, Message.Load.NONE, Map.of()));
+        peer().ifPresent(known -> context.messages().heard(known.agent(), m.configVersion()));
       } else {
-        context.control().onMessage(from, message);
+        peer().ifPresent(known -> context.messages().received(known.agent(), message));
       }
     }
 
@@ -283,16 +281,8 @@
       from.close();
       return;
     }
-    peer =
-        new Peer(
-            from,
-            hello.process(),
-            hello.pool(),
-            hello.zone(),
-            hello.region(),
-            hello.load(),
-            hello.shards(),
-            hello.configVersion());
+    AgentPeer agent = new AgentPeer(hello.process(), hello.region(), from);
+    peer = new Peer(agent, hello.pool(), hello.zone(), hello.load(), hello.shards());
     context
         .log()
         .event(EntryEvent.AGENT_CONNECTED)
@@ -303,6 +293,7 @@
         .with("zone", hello.zone())
         .write();
     events.connected(this, hello.process(), hello.load());
+    context.messages().connected(agent, hello.configVersion());
   }
 
   private void ponged(Message.Pong pong) {
@@ -310,6 +301,7 @@
     if (known != null) {
       peer = known.with(pong);
       events.heard(this, pong.load());
+      context.messages().heard(known.agent(), pong.configVersion());
     }
   }
 
@@ -350,6 +342,7 @@
           .with("process", known.process())
           .with("reason", cause)
           .write();
+      context.messages().disconnected(known.agent());
     }
     events.disconnected(this);
     String detail = "the connection to " + name + " was lost";
--- a/entry/src/main/java/org/oriolewell/entry/Entry.java
+++ b/entry/src/main/java/org/oriolewell/entry/Entry.java
@@ -3,13 +3,17 @@
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +21,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.oriolewell.core.call.IdempotencyKey;
 import org.oriolewell.core.config.ConfigDocument;
+import org.oriolewell.core.config.ConfigMember;
 import org.oriolewell.core.membership.Membership;
 import org.oriolewell.core.membership.MembershipSettings;
 import org.oriolewell.core.result.RequestPlan;
@@ -26,14 +31,19 @@
 import org.oriolewell.core.routing.Place;
 import org.oriolewell.core.routing.Router;
 import org.oriolewell.core.routing.RouterSettings;
+import org.oriolewell.runtime.admin.AdminApi;
+import org.oriolewell.runtime.admin.AdminToken;
+import org.oriolewell.runtime.config.ConfigService;
 import org.oriolewell.runtime.http.JsonServer;
 import org.oriolewell.runtime.http.OperatorsPort;
 import org.oriolewell.runtime.log.EventLog;
 import org.oriolewell.runtime.log.RuntimeEvent;
 import org.oriolewell.runtime.platform.HttpHostList;
 import org.oriolewell.runtime.platform.HttpKeyValueStore;
+import org.oriolewell.runtime.platform.KeyValueStore;
 import org.oriolewell.runtime.settings.Setting;
 import org.oriolewell.runtime.settings.Settings;
+import org.oriolewell.runtime.tls.Tls;
 import org.oriolewell.runtime.wire.Message;
 import org.oriolewell.runtime.wire.WireClient;
 
@@ -56,39 +66,53 @@
   private final EntryMetrics metrics = new EntryMetrics(new PrometheusRegistry());
   private final WireClient wire;
   private final AgentDirectory agents;
-  private final ConfigSource config;
+  private final Optional<Tls> tls;
+  private final ConfigMember self;
+  private final ConfigService config;
+  private final Fleet fleet;
   private final CallersApi api;
   private final JsonServer callers;
   private final JsonServer operators;
   private volatile boolean stopping;
 
-  private Entry(Settings settings, Consumer<JsonServer> adminRoutes) throws Exception {
+  private Entry(Settings settings, Consumer<JsonServer> moreRoutes) throws Exception {
     this.settings = settings;
     process = value(EntrySettings.NAME) + "-" + UUID.randomUUID().toString().substring(0, 8);
+    tls = Tls.fromSettings(settings, log);
     timers.setRemoveOnCancelPolicy(true);
     http.start();
     wire =
         WireClient.start(
-            value(EntrySettings.CONNECT_TIMEOUT), value(EntrySettings.FRAME_LIMIT), null);
-    config = configSource();
+            value(EntrySettings.CONNECT_TIMEOUT),
+            value(EntrySettings.FRAME_LIMIT),
+            tls.isPresent() ? tls.get().client() : null);
+    self = new ConfigMember(value(EntrySettings.NAME), value(EntrySettings.REGION));
+    config = ConfigService.start(self, true, store(), random, wall, log);
+    config.knownEntries(List.of(self));
+    fleet =
+        new Fleet(
+            config,
+            process,
+            Map.of("region", value(EntrySettings.REGION), "zone", value(EntrySettings.ZONE)),
+            this::agentPeers);
     agents = directory();
     api = callersApi();
     callers =
         api.addTo(
-            JsonServer.of(
+            server(
                 address(EntrySettings.CALLERS_ADDRESS, EntrySettings.CALLERS_PORT),
-                value(EntrySettings.BODY_LIMIT),
-                log));
+                value(EntrySettings.BODY_LIMIT)));
     operators =
         OperatorsPort.addRoutes(
-            JsonServer.of(
+            server(
                 address(EntrySettings.OPERATORS_ADDRESS, EntrySettings.OPERATORS_PORT),
-                OPERATORS_BODY_LIMIT,
-                log),
+                OPERATORS_BODY_LIMIT),
             metrics.registry(),
             this::ready,
             this::status);
-    adminRoutes.accept(operators);
+    AdminApi.of(config, fleet.exchange(), value(AdminToken.SETTING), wall, log)
+        .addRoutes(operators);
+    moreRoutes.accept(operators);
     metrics.gauge("requests_in_flight", "Requests that aren't fully answered.", api::inFlight);
     metrics.gauge("agents_connected", "Agents that are connected.", this::connected);
   }
@@ -96,10 +120,10 @@
   /**
    * Starts an entry.
    *
-   * @param adminRoutes adds further routes to the operators' port before it starts
+   * @param moreRoutes adds further routes to the operators' port before it starts
    */
-  static Entry start(Settings settings, Consumer<JsonServer> adminRoutes) throws Exception {
-    Entry entry = new Entry(settings, adminRoutes);
+  static Entry start(Settings settings, Consumer<JsonServer> moreRoutes) throws Exception {
+    Entry entry = new Entry(settings, moreRoutes);
     entry.startHeartbeats();
     entry.startHostList();
     entry.operators.start("operators");
@@ -116,28 +140,31 @@
     return new InetSocketAddress(InetAddresses.forString(value(host)), value(port));
   }
 
-  private ConfigSource configSource() {
+  private JsonServer server(InetSocketAddress address, int bodyLimit) throws IOException {
+    return tls.isPresent()
+        ? JsonServer.withTls(address, bodyLimit, tls.get().server(false), log)
+        : JsonServer.of(address, bodyLimit, log);
+  }
+
+  private KeyValueStore store() {
     String url = value(EntrySettings.STORE_URL);
-    if (url.isEmpty()) {
-      return Optional::empty;
-    }
-    StoreConfig source =
-        new StoreConfig(
-            HttpKeyValueStore.of(http, URI.create(url), value(EntrySettings.STORE_TIMEOUT)), log);
-    every(value(EntrySettings.CONFIG_POLL), source::poll);
-    return source;
+    return url.isEmpty()
+        ? new NoStore()
+        : HttpKeyValueStore.of(http, URI.create(url), value(EntrySettings.STORE_TIMEOUT));
+  }
+
+  /** Returns the configuration in force; version 0 stands for none. */
+  private Optional<ConfigDocument> document() {
+    return config.version() > 0 ? Optional.of(config.current()) : Optional.empty();
+  }
+
+  private List<AgentPeer> agentPeers() {
+    return agents.peers();
   }
 
   private AgentDirectory directory() {
     LinkContext context =
-        new LinkContext(
-            wire,
-            this::hello,
-            this::configVersion,
-            clock,
-            (connection, message) -> {},
-            metrics,
-            log);
+        new LinkContext(wire, this::hello, config::version, clock, fleet, metrics, log);
     Duration ping = value(EntrySettings.PING);
     Duration dead = value(EntrySettings.DEAD);
     MembershipSettings times =
@@ -146,7 +173,7 @@
     return new AgentDirectory(
         value(EntrySettings.AGENTS).stream().map(Entry::staticAgent).toList(),
         new AgentDirectory.Settings(ping, dead),
-        config,
+        this::document,
         context,
         Membership.create(times, random),
         this::poolRouter);
@@ -179,6 +206,9 @@
             value(EntrySettings.RETRY_RATE),
             value(EntrySettings.RETRY_BURST),
             value(EntrySettings.RETRY_RATE) / 4,
+            value(EntrySettings.RETRY_BURST) * 0.4,
+            value(EntrySettings.RETRY_RATIO) / 10,
+            value(EntrySettings.RETRY_RATE) / 4,
             value(EntrySettings.RETRY_BURST) * 0.4);
     RunContext context =
         new RunContext(
@@ -200,7 +230,7 @@
         new RequestTable(
             timers, value(EntrySettings.STREAM_KEEP), value(EntrySettings.STREAM_KEPT_TOKENS));
     return new CallersApi(
-        config,
+        this::document,
         new RequestParser(value(EntrySettings.MAX_DEADLINE)),
         context,
         streams,
@@ -222,10 +252,18 @@
         new HostListPoller(
             HttpHostList.of(http, URI.create(url), value(EntrySettings.HOST_LIST_TIMEOUT)),
             agents::propose,
+            this::entriesListed,
             log);
     every(value(EntrySettings.HOST_LIST_POLL), poller::poll);
   }
 
+  /** Takes the listed entries; this one counts as known, whatever the list says. */
+  private void entriesListed(List<ConfigMember> listed) {
+    Set<ConfigMember> known = new HashSet<>(listed);
+    known.add(self);
+    config.knownEntries(known);
+  }
+
   private void every(Duration period, Runnable task) {
     Runnable guarded =
         () -> {
@@ -246,17 +284,13 @@
         "",
         value(EntrySettings.ZONE),
         value(EntrySettings.REGION),
-        configVersion(),
+        config.version(),
         Map.of(),
         Message.Load.NONE);
   }
 
-  private long configVersion() {
-    return config.current().map(ConfigDocument::version).orElse(0L);
-  }
-
   private boolean ready() {
-    return !stopping && config.current().isPresent();
+    return !stopping && config.version() > 0;
   }
 
   private int connected() {
@@ -274,7 +308,7 @@
         "region",
         value(EntrySettings.REGION),
         "config_version",
-        configVersion(),
+        config.version(),
         "state",
         stopping ? "stopping" : ready() ? "ready" : "waiting for a configuration",
         "requests_in_flight",
@@ -327,6 +361,8 @@
     callers.close();
     timers.shutdownNow();
     agents.close();
+    config.close();
+    tls.ifPresent(Tls::close);
     wire.close();
     http.stop();
     operators.close();
--- a/entry/src/main/java/org/oriolewell/entry/EntryEvent.java
+++ b/entry/src/main/java/org/oriolewell/entry/EntryEvent.java
@@ -33,11 +33,6 @@
       2015,
       Level.WARNING,
       "A host list entry is not usable, for example since its address is no IP number."),
-  CONFIG_IN_FORCE(2020, Level.INFO, "A configuration version is in force in this entry."),
-  CONFIG_REFUSED(
-      2021,
-      Level.SEVERE,
-      "The stored configuration can't be read; the last good version stays in force. Repair it."),
   STOP_TIMED_OUT(
       2030, Level.WARNING, "Requests were still in flight when the time for a planned stop ended.");
 
--- a/entry/src/main/java/org/oriolewell/entry/EntrySettings.java
+++ b/entry/src/main/java/org/oriolewell/entry/EntrySettings.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.oriolewell.runtime.admin.AdminToken;
 import org.oriolewell.runtime.settings.Setting;
 import org.oriolewell.runtime.settings.SettingsSpec;
+import org.oriolewell.runtime.tls.Tls;
 
 /** Settings of the entry. */
 final class EntrySettings {
@@ -32,9 +34,6 @@
       Setting.string("store.url", "", "URL of the key-value service; empty for none.");
   static final Setting<Duration> STORE_TIMEOUT =
       millis("store.timeout_millis", 1000, 10, 60_000, "Time after which a store call has failed.");
-  static final Setting<Duration> CONFIG_POLL =
-      millis(
-          "store.config_poll_millis", 1000, 50, 60_000, "Time between reads of the configuration.");
   static final Setting<String> HOST_LIST_URL =
       Setting.string("hosts.url", "", "URL of the host list; empty for none.");
   static final Setting<Duration> HOST_LIST_POLL =
@@ -126,7 +125,6 @@
               OPERATORS_PORT,
               STORE_URL,
               STORE_TIMEOUT,
-              CONFIG_POLL,
               HOST_LIST_URL,
               HOST_LIST_POLL,
               HOST_LIST_TIMEOUT,
@@ -147,7 +145,11 @@
               STREAM_KEEP,
               STREAM_KEPT_TOKENS,
               STOP_TIMEOUT,
-              LOG_SAMPLING));
+              LOG_SAMPLING,
+              AdminToken.SETTING,
+              Tls.CERTIFICATE,
+              Tls.KEY,
+              Tls.AUTHORITIES));
 
   private EntrySettings() {}
 
--- a/entry/src/main/java/org/oriolewell/entry/HostListPoller.java
+++ b/entry/src/main/java/org/oriolewell/entry/HostListPoller.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import org.oriolewell.core.config.ConfigMember;
 import org.oriolewell.runtime.log.EventLog;
 import org.oriolewell.runtime.log.RuntimeEvent;
 import org.oriolewell.runtime.platform.HostList;
@@ -19,6 +20,7 @@
 final class HostListPoller {
   private final HostList hosts;
   private final Consumer<List<AgentProposal>> proposals;
+  private final Consumer<List<ConfigMember>> entries;
   private final EventLog log;
   private final AtomicBoolean running = new AtomicBoolean();
   private final Set<String> reported = new HashSet<>();
@@ -28,10 +30,16 @@
    * Creates a poller.
    *
    * @param proposals receives the agents of each list
+   * @param entries receives the entries of each list
    */
-  HostListPoller(HostList hosts, Consumer<List<AgentProposal>> proposals, EventLog log) {
+  HostListPoller(
+      HostList hosts,
+      Consumer<List<AgentProposal>> proposals,
+      Consumer<List<ConfigMember>> entries,
+      EventLog log) {
     this.hosts = hosts;
     this.proposals = proposals;
+    this.entries = entries;
     this.log = log;
   }
 
@@ -48,6 +56,11 @@
       if (failure == null) {
         available = true;
         proposals.accept(agents(list));
+        entries.accept(
+            list.stream()
+                .filter(host -> host.kind().equals("entry"))
+                .map(host -> new ConfigMember(host.host(), host.region()))
+                .toList());
       } else if (available) {
         available = false;
         log.event(RuntimeEvent.HOST_LIST_UNAVAILABLE).cause(failure).write();
--- a/entry/src/main/java/org/oriolewell/entry/LinkContext.java
+++ b/entry/src/main/java/org/oriolewell/entry/LinkContext.java
@@ -14,13 +14,13 @@
  * @param hello makes this process's first message
  * @param configVersion configuration version in force
  * @param clock clock that never goes back
- * @param control receives messages that belong to no call
+ * @param messages hears of agents and of messages that belong to no call
  */
 record LinkContext(
     WireClient client,
     Supplier<Message.Hello> hello,
     LongSupplier configVersion,
     InstantSource clock,
-    ControlMessages control,
+    PeerMessages messages,
     EntryMetrics metrics,
     EventLog log) {}
--- a/entry/src/main/java/org/oriolewell/entry/PoolRouter.java
+++ b/entry/src/main/java/org/oriolewell/entry/PoolRouter.java
@@ -46,7 +46,7 @@
    * @param avoid upstreams that failed this call, used only if there is no other
    */
   synchronized Choice choose(long prefix, int bytes, Set<String> avoid) {
-    RouteRequest request = new RouteRequest(prefix, bytes, List.copyOf(avoid));
+    RouteRequest request = new RouteRequest(prefix, bytes, List.copyOf(avoid), false);
     Choice choice = router.choose(request, now());
     if (choice.reason() == Choice.Reason.NO_UPSTREAM && !avoid.isEmpty()) {
       return router.choose(request.excluding(List.of()), now());
