Use the shared admission, the configuration's distribution and the query language

The agent had a fixed limit and polled the store for its configuration. It now uses core's admission with shares by firm and workspace, takes part in the distribution among peers, and answers show upstreams and show versions. It reads the store itself only if peers leave it behind for a second.

--- a/agent/src/main/java/org/oriolewell/agent/Admission.java
+++ b/agent/src/main/java/org/oriolewell/agent/Admission.java
@@ -1,7 +1,7 @@
 package org.oriolewell.agent;
 
 import java.time.Duration;
-import java.time.Instant;
+import org.oriolewell.core.admission.Ending;
 import org.oriolewell.runtime.wire.Message;
 import org.oriolewell.runtime.wire.Message.RefusalKind;
 
@@ -12,9 +12,6 @@
     /** Returns the wire message that asked for the call. */
     Message.Call call();
 
-    /** Returns the end of the call's remaining time. */
-    Instant deadline();
-
     /** Lets the call run; {@link Admission#finished} must follow. */
     void admitted();
 
@@ -23,21 +20,20 @@
   }
 
   /** Takes a call; admits or refuses it now or later. */
-  void offer(Ticket ticket, Instant now);
+  void offer(Ticket ticket);
 
   /** Forgets a call that still waits. */
-  void withdraw(Ticket ticket, Instant now);
+  void withdraw(Ticket ticket);
 
   /**
    * Frees the place of an admitted call.
    *
-   * @param latency time at the upstream
-   * @param failed whether the upstream failed the call
+   * @param ending how the call ended; {@code CANCELED} if it never was at the upstream
    */
-  void finished(Ticket ticket, Duration latency, boolean failed, Instant now);
+  void finished(Ticket ticket, Ending ending);
 
   /** Called about every 50 ms so that waiting calls whose time runs out can be refused. */
-  void tick(Instant now);
+  void tick();
 
   /** Returns the load to report to dialers. */
   Message.Load load(boolean draining);
--- a/agent/src/main/java/org/oriolewell/agent/Agent.java
+++ b/agent/src/main/java/org/oriolewell/agent/Agent.java
@@ -1,7 +1,5 @@
 package org.oriolewell.agent;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.security.SecureRandom;
@@ -9,13 +7,19 @@
 import java.time.InstantSource;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntPredicate;
 import org.eclipse.jetty.client.HttpClient;
+import org.oriolewell.core.config.ConfigDocument;
+import org.oriolewell.core.config.ConfigMember;
 import org.oriolewell.core.config.UpstreamSpec;
+import org.oriolewell.core.config.language.Subject;
 import org.oriolewell.core.drain.DrainSettings;
+import org.oriolewell.runtime.admin.QueryResponder;
+import org.oriolewell.runtime.config.ConfigService;
 import org.oriolewell.runtime.http.JsonServer;
 import org.oriolewell.runtime.http.OperatorsPort;
 import org.oriolewell.runtime.log.EventLog;
@@ -32,7 +36,6 @@
  * Closing it is a planned stop that finishes the calls in flight.
  */
 public final class Agent implements AutoCloseable {
-  private static final ObjectMapper JSON = new ObjectMapper();
   private static final int OPERATORS_BODY_BYTES = 64 << 10;
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration LINGER = Duration.ofMillis(100);
@@ -44,10 +47,12 @@
   private final AgentContext context;
   private final WireServer wire;
   private final JsonServer operators;
+  private final SharedAdmission admission;
   private final Service service = new Service();
   private final WireClient probes;
   private final Shards nonIdempotent;
   private final DrainControl drain;
+  private final QueryResponder responder = QueryResponder.of(this::rows);
   private final Set<Dialer> dialers = new LinkedHashSet<>();
 
   private Agent(Settings settings, InstantSource clock) {
@@ -60,9 +65,13 @@
             http,
             URI.create(settings.value(AgentSettings.STORE_URL)),
             settings.value(AgentSettings.STORE_TIMEOUT));
-    AgentIdentity identity = AgentIdentity.of(settings, new SecureRandom());
-    ConfigFeed config =
-        PollingConfig.start(store, loop, log, settings.value(AgentSettings.CONFIG_POLL));
+    SecureRandom random = new SecureRandom();
+    AgentIdentity identity = AgentIdentity.of(settings, random);
+    ConfigService distribution =
+        ConfigService.start(
+            new ConfigMember(identity.host(), identity.region()), false, store, random, clock, log);
+    final ConfigFeed config = new DistributedConfig(distribution, loop);
+    admission = admission();
     context =
         new AgentContext(
             identity,
@@ -70,8 +79,7 @@
             loop,
             log,
             new AgentMetrics(),
-            new FixedLimitAdmission(
-                settings.value(AgentSettings.LIMIT), settings.value(AgentSettings.QUEUE_SIZE)),
+            admission,
             upstream(status -> config.notExecuted(identity.pool(), status)),
             config,
             settings.value(AgentSettings.FRAME_BYTES));
@@ -137,14 +145,7 @@
                             settings.value(AgentSettings.HEARTBEAT),
                             settings.value(AgentSettings.DIALER_TIMEOUT))));
     agent.loop.every(TICK, agent::tick);
-    agent
-        .context
-        .config()
-        .onChange(
-            document -> {
-              UpstreamSpec spec = agent.context.config().upstream(agent.context.identity().host());
-              agent.drain.configured(spec != null && spec.draining());
-            });
+    agent.context.config().onChange(agent::configured);
     agent
         .log
         .event(RuntimeEvent.STARTED)
@@ -153,6 +154,22 @@
     return agent;
   }
 
+  private SharedAdmission admission() {
+    int limit = settings.value(AgentSettings.LIMIT);
+    return new SharedAdmission(
+        Math.min(limit, settings.value(AgentSettings.MIN_LIMIT)),
+        limit,
+        Math.max(limit, settings.value(AgentSettings.MAX_LIMIT)),
+        settings.value(AgentSettings.QUEUE_SIZE),
+        System::nanoTime);
+  }
+
+  private void configured(ConfigDocument document) {
+    admission.configure(document);
+    UpstreamSpec spec = document.upstreams().get(context.identity().host());
+    drain.configured(spec != null && spec.draining());
+  }
+
   private Upstream upstream(IntPredicate notExecuted) {
     URI url = URI.create(settings.value(AgentSettings.UPSTREAM_URL));
     Duration timeout = settings.value(AgentSettings.UPSTREAM_TIMEOUT);
@@ -173,7 +190,8 @@
   }
 
   private void tick() {
-    context.admission().tick(context.clock().instant());
+    admission.tick();
+    context.config().tick(context.clock().instant());
     nonIdempotent.tick();
     drain.tick();
   }
@@ -215,6 +233,25 @@
     return status;
   }
 
+  /** Returns what {@code show upstreams} and {@code show versions} list for this agent. */
+  private List<Map<String, Object>> rows(Subject subject) {
+    Map<String, Object> status = status();
+    if (subject == Subject.VERSIONS) {
+      status.put("version", status.get("config_version"));
+      return List.of(status);
+    }
+    if (subject != Subject.UPSTREAMS) {
+      return List.of();
+    }
+    status.put("role", engineRole());
+    status.put("queue_delay_ms", service.load().queueDelayMicros() / 1000);
+    return List.of(status);
+  }
+
+  private String engineRole() {
+    return "";
+  }
+
   private int openCalls() {
     return dialers.stream().mapToInt(Dialer::callCount).sum();
   }
@@ -298,11 +335,7 @@
 
     @Override
     public byte[] answer(byte[] question) {
-      try {
-        return JSON.writeValueAsBytes(status());
-      } catch (JsonProcessingException e) {
-        throw new IllegalStateException("the status cannot be written", e);
-      }
+      return responder.answer(question);
     }
   }
 }
--- a/agent/src/main/java/org/oriolewell/agent/AgentEvent.java
+++ b/agent/src/main/java/org/oriolewell/agent/AgentEvent.java
@@ -16,11 +16,6 @@
   DIALER_SILENT(
       3005, Level.WARNING, "A dialer with calls in flight stopped answering; it was disconnected."),
   TASK_FAILED(3006, Level.SEVERE, "A task of the agent failed; report it as a defect."),
-  CONFIG_APPLIED(3010, Level.INFO, "A higher configuration version is in force."),
-  CONFIG_INVALID(
-      3011,
-      Level.SEVERE,
-      "The stored configuration cannot be read and is ignored; repair it or update this program."),
   DRAIN_CHANGED(3020, Level.INFO, "The agent's drain state changed; the fields name the reason."),
   DRAIN_TIMED_OUT(
       3021, Level.WARNING, "A planned stop ended with calls in flight; raise stop.max_millis."),
--- a/agent/src/main/java/org/oriolewell/agent/AgentSettings.java
+++ b/agent/src/main/java/org/oriolewell/agent/AgentSettings.java
@@ -124,22 +124,24 @@
           Duration.ofMinutes(1),
           "Time after which a call to the key-value service counts as unanswered.");
 
-  /** Time between two reads of the configuration. */
-  public static final Setting<Duration> CONFIG_POLL =
-      Setting.millis(
-          "store.config_poll_millis",
-          Duration.ofSeconds(1),
-          Duration.ofMillis(10),
-          Duration.ofMinutes(10),
-          "Time between two reads of the configuration.");
-
   /** Calls that may wait. */
   public static final Setting<Integer> QUEUE_SIZE =
       Setting.integer("admission.queue_size", 512, 0, 1 << 20, "Calls that may wait.");
 
-  /** Calls that may be at the upstream at once. */
+  /** Calls that may be at the upstream at once, at the start. */
   public static final Setting<Integer> LIMIT =
-      Setting.integer("admission.limit", 64, 1, 1 << 16, "Calls at the upstream at once.");
+      Setting.integer(
+          "admission.limit", 64, 1, 1 << 16, "Calls at the upstream at once, at the start.");
+
+  /** Lowest value of the adaptive limit. */
+  public static final Setting<Integer> MIN_LIMIT =
+      Setting.integer(
+          "admission.min_limit", 4, 1, 1 << 16, "Lowest limit that adapting to latency sets.");
+
+  /** Highest value of the adaptive limit. */
+  public static final Setting<Integer> MAX_LIMIT =
+      Setting.integer(
+          "admission.max_limit", 1024, 1, 1 << 16, "Highest limit that adapting to latency sets.");
 
   /** Longest planned stop. */
   public static final Setting<Duration> STOP_MAX =
@@ -228,9 +230,10 @@
               DEFAULT_MAX_TOKENS,
               STORE_URL,
               STORE_TIMEOUT,
-              CONFIG_POLL,
               QUEUE_SIZE,
               LIMIT,
+              MIN_LIMIT,
+              MAX_LIMIT,
               STOP_MAX,
               RELEASE_MAX,
               KEY_LIFETIME,
--- a/agent/src/main/java/org/oriolewell/agent/ConfigFeed.java
+++ b/agent/src/main/java/org/oriolewell/agent/ConfigFeed.java
@@ -1,5 +1,6 @@
 package org.oriolewell.agent;
 
+import java.time.Instant;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.config.ConfigDocument;
@@ -7,6 +8,8 @@
 import org.oriolewell.core.config.PoolSpec;
 import org.oriolewell.core.config.StageSpec;
 import org.oriolewell.core.config.UpstreamSpec;
+import org.oriolewell.runtime.config.ConfigPeer;
+import org.oriolewell.runtime.wire.Message;
 
 /** Supplies the configuration in force. */
 interface ConfigFeed extends AutoCloseable {
@@ -16,6 +19,21 @@
   /** Calls the listener with each higher version, on the agent's loop. */
   void onChange(Consumer<ConfigDocument> listener);
 
+  /** Adds a peer whose HELLO named a version. */
+  void connected(ConfigPeer peer, long version);
+
+  /** Tells the version that a peer named in a heartbeat. */
+  void heard(ConfigPeer peer, long version);
+
+  /** Handles a peer's message; returns false if it isn't one of the configuration's. */
+  boolean received(ConfigPeer peer, Message message);
+
+  /** Removes a peer. */
+  void disconnected(ConfigPeer peer);
+
+  /** Lets time pass. */
+  void tick(Instant now);
+
   @Override
   void close();
 
--- a/agent/src/main/java/org/oriolewell/agent/Dialer.java
+++ b/agent/src/main/java/org/oriolewell/agent/Dialer.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.runtime.config.ConfigPeer;
 import org.oriolewell.runtime.log.RuntimeEvent;
 import org.oriolewell.runtime.wire.Message;
 import org.oriolewell.runtime.wire.Message.RefusalKind;
@@ -29,7 +30,8 @@
   private final Map<Long, ActiveCall> calls = new HashMap<>();
   private @Nullable WireConnection connection;
   private String peer = "";
-  private boolean closed;
+  private @Nullable ConfigPeer configPeer;
+  private volatile boolean closed;
   private Instant lastHeard;
   private long pingSequence;
 
@@ -75,6 +77,9 @@
           .write();
     }
     service.closed(this);
+    if (configPeer != null) {
+      context.config().disconnected(configPeer);
+    }
     List.copyOf(calls.values()).forEach(ActiveCall::cancel);
     calls.clear();
   }
@@ -98,12 +103,13 @@
     } else if (message instanceof Message.Call call) {
       begin(call);
     } else if (message instanceof Message.Ping ping) {
+      heardVersion(ping.configVersion());
       send(service.pong(ping));
     } else if (message instanceof Message.Settle question) {
       service.nonIdempotent().settle(this, question);
     } else if (message instanceof Message.Query query) {
       send(new Message.QueryResult(query.id(), service.answer(query.question())));
-    } else if (!handleForCall(message) && !isIgnored(message)) {
+    } else if (!handleForCall(message) && !handleForConfig(message)) {
       violate("a dialer must not send " + message.getClass().getSimpleName());
     }
   }
@@ -127,11 +133,12 @@
     return true;
   }
 
-  private static boolean isIgnored(Message message) {
-    return message instanceof Message.Pong
-        || message instanceof Message.ConfigRequest
-        || message instanceof Message.ConfigDelta
-        || message instanceof Message.ConfigSnapshot;
+  private boolean handleForConfig(Message message) {
+    if (message instanceof Message.Pong pong) {
+      heardVersion(pong.configVersion());
+      return true;
+    }
+    return configPeer != null && context.config().received(configPeer, message);
   }
 
   /** Runs an action for a call; a call that has just ended may still be named by the dialer. */
@@ -147,6 +154,29 @@
       violate("the peer speaks protocol version " + hello.version());
     } else {
       peer = hello.process();
+      configPeer = peer(hello.region());
+      context.config().connected(configPeer, hello.configVersion());
+    }
+  }
+
+  private ConfigPeer peer(String region) {
+    return new ConfigPeer() {
+      @Override
+      public String region() {
+        return region;
+      }
+
+      @Override
+      public boolean send(Message message) {
+        context.loop().execute(() -> Dialer.this.send(message));
+        return !closed;
+      }
+    };
+  }
+
+  private void heardVersion(long version) {
+    if (configPeer != null) {
+      context.config().heard(configPeer, version);
     }
   }
 
--- a/agent/src/main/java/org/oriolewell/agent/IdempotentCall.java
+++ b/agent/src/main/java/org/oriolewell/agent/IdempotentCall.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.admission.Ending;
 import org.oriolewell.runtime.wire.Message;
 import org.oriolewell.runtime.wire.Message.RefusalKind;
 
@@ -31,7 +32,6 @@
   private final AgentContext context;
   private final Dialer dialer;
   private final UpstreamCall call;
-  private final Instant deadline;
   private final TokenBatch waiting;
   private final List<String> collected = new ArrayList<>();
   private State state = State.WAITING;
@@ -46,7 +46,6 @@
     this.context = context;
     this.dialer = dialer;
     this.call = call;
-    this.deadline = context.clock().instant().plusMillis(call.message().remainingMillis());
     this.credits = call.message().credits();
     this.waiting = TokenBatch.from(call.message().resumeFrom(), context.maxFrameBytes());
   }
@@ -56,18 +55,13 @@
     return call.message();
   }
 
-  @Override
-  public Instant deadline() {
-    return deadline;
-  }
-
   @Override
   public void start() {
     timer =
         context
             .loop()
             .after(Duration.ofMillis(call.message().remainingMillis()), this::deadlinePassed);
-    context.admission().offer(this, context.clock().instant());
+    context.admission().offer(this);
   }
 
   @Override
@@ -138,7 +132,7 @@
     if (state != State.RUNNING) {
       return;
     }
-    leaveUpstream(false);
+    leaveUpstream(Ending.ANSWERED);
     count = tokens;
     if (output.length > 0) {
       succeed(output);
@@ -175,16 +169,14 @@
 
   private void onFailed(UpstreamFailure failure) {
     if (state == State.RUNNING) {
-      leaveUpstream(true);
+      leaveUpstream(Ending.FAILED);
       finish(Refusal.of(failure));
     }
   }
 
-  private void leaveUpstream(boolean failed) {
-    Instant now = context.clock().instant();
-    Duration time = Duration.between(startedAt, now);
-    context.metrics().upstreamTime(time);
-    context.admission().finished(this, time, failed, now);
+  private void leaveUpstream(Ending ending) {
+    context.metrics().upstreamTime(Duration.between(startedAt, context.clock().instant()));
+    context.admission().finished(this, ending);
   }
 
   private void deadlinePassed() {
@@ -201,15 +193,14 @@
   private void abandon(RefusalKind kind, String detail) {
     switch (state) {
       case WAITING -> {
-        context.admission().withdraw(this, context.clock().instant());
+        context.admission().withdraw(this);
         finish(Refusal.notRun(kind, detail));
       }
       case RUNNING -> {
         if (running != null) {
           running.cancel();
         }
-        // Work that was ended early says nothing about the upstream's health.
-        leaveUpstream(false);
+        leaveUpstream(kind == RefusalKind.DEADLINE_EXCEEDED ? Ending.TIMED_OUT : Ending.CANCELED);
         finish(Refusal.unknown(kind, detail));
       }
       case FLUSHING -> finish(Refusal.unknown(kind, detail));
--- a/agent/src/main/java/org/oriolewell/agent/NonIdempotentCall.java
+++ b/agent/src/main/java/org/oriolewell/agent/NonIdempotentCall.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.admission.Ending;
 import org.oriolewell.core.call.CallId;
 import org.oriolewell.core.call.CallRecord;
 import org.oriolewell.core.call.IdempotencyKey;
@@ -36,7 +37,6 @@
   private final CallId id;
   private final IdempotencyKey key;
   private final ShardHost shard;
-  private final Instant deadline;
   private State state = State.QUEUED;
   private boolean replied;
   private boolean asked;
@@ -61,7 +61,6 @@
     this.id = id;
     this.key = key;
     this.shard = shard;
-    deadline = context.clock().instant().plusMillis(call.message().remainingMillis());
   }
 
   long number() {
@@ -81,11 +80,6 @@
     return call.message();
   }
 
-  @Override
-  public Instant deadline() {
-    return deadline;
-  }
-
   @Override
   public void start() {
     timer =
@@ -99,7 +93,7 @@
                         "the remaining time of "
                             + call.message().remainingMillis()
                             + " ms ran out"));
-    context.admission().offer(this, context.clock().instant());
+    context.admission().offer(this);
   }
 
   @Override
@@ -153,14 +147,14 @@
   private void abandon(RefusalKind kind, String detail) {
     switch (state) {
       case QUEUED -> {
-        context.admission().withdraw(this, context.clock().instant());
+        context.admission().withdraw(this);
         state = State.ENDED;
         refuse(Refusal.notRun(kind, detail));
       }
       case WITH_SHARD -> {
         abandonment = Refusal.notRun(kind, detail);
         boolean joined = shard.leave(this);
-        leaveAdmission(Duration.ZERO, false);
+        leaveAdmission(Ending.CANCELED);
         state = State.ENDED;
         refuse(joined ? Refusal.unknown(kind, detail) : abandonment);
       }
@@ -200,10 +194,9 @@
     }
     state = State.ENDED;
     failure = cause;
-    Duration time = Duration.between(startedAt, context.clock().instant());
-    context.metrics().upstreamTime(time);
+    context.metrics().upstreamTime(Duration.between(startedAt, context.clock().instant()));
     shard.finished(this, new ShardEvent.Finished(number, end, output));
-    leaveAdmission(time, cause != null);
+    leaveAdmission(cause == null ? Ending.ANSWERED : Ending.FAILED);
     dialer.callEnded();
   }
 
@@ -211,7 +204,7 @@
   void reply(Verdict verdict, byte @Nullable [] output, String otherOwner, boolean storeAway) {
     if (state == State.WITH_SHARD) {
       state = State.ENDED;
-      leaveAdmission(Duration.ZERO, false);
+      leaveAdmission(Ending.CANCELED);
     }
     if (verdict == Verdict.ANSWERED && output != null) {
       if (end()) {
@@ -224,10 +217,10 @@
     }
   }
 
-  private void leaveAdmission(Duration time, boolean failed) {
+  private void leaveAdmission(Ending ending) {
     if (admitted) {
       admitted = false;
-      context.admission().finished(this, time, failed, context.clock().instant());
+      context.admission().finished(this, ending);
     }
   }
 
--- a/agent/src/test/java/org/oriolewell/agent/IdempotentCallTest.java
+++ b/agent/src/test/java/org/oriolewell/agent/IdempotentCallTest.java
@@ -31,7 +31,11 @@
     upstream = FakeUpstream.start();
     agent =
         AgentFixture.start(
-            "stage", upstream.url(), "admission.limit = 1", "admission.queue_size = 1");
+            "stage",
+            upstream.url(),
+            "admission.limit = 1",
+            "admission.max_limit = 1",
+            "admission.queue_size = 1");
     entry = TestEntry.connect(agent.wireAddress());
   }
 
--- a/agent/src/test/java/org/oriolewell/agent/NonIdempotentCallTest.java
+++ b/agent/src/test/java/org/oriolewell/agent/NonIdempotentCallTest.java
@@ -30,6 +30,7 @@
   private FakeStore store;
   private Agent agent;
   private TestEntry entry;
+  private long version;
 
   @BeforeEach
   void start() throws Exception {
@@ -55,7 +56,9 @@
         version,
         Map.of(),
         Map.of(),
-        Map.of("pool-1", new PoolSpec(PoolSpec.Kind.SERVICE, 1, List.of(NOT_EXECUTED), false)),
+        Map.of(
+            "pool-1",
+            new PoolSpec(PoolSpec.Kind.SERVICE, 1, List.of(NOT_EXECUTED), false, null, List.of())),
         Map.of(),
         Map.of("host-1", new UpstreamSpec(draining, null, List.of())),
         List.of());
@@ -66,7 +69,6 @@
         "service",
         upstream.url(),
         "store.url = \"" + store.url() + "\"",
-        "store.config_poll_millis = 50",
         "calls.probe_timeout_millis = 2000",
         "stop.max_millis = 2000",
         "stop.release_max_millis = 500");
@@ -326,6 +328,7 @@
     upstream.awaitCall();
 
     store.set("config/document", ConfigJson.write(configuration(2, true)));
+    version = 2;
     await(() -> draining());
     entry.send(TestEntry.keyed(2, 5000, key("b")));
     assertThat(entry.next(Message.Refused.class).kind()).isEqualTo(RefusalKind.STOPPING);
@@ -334,6 +337,7 @@
     await(() -> shardsOwned() == 0);
 
     store.set("config/document", ConfigJson.write(configuration(3, false)));
+    version = 3;
     await(() -> !draining());
     entry.send(TestEntry.keyed(3, 5000, key("c")));
     grant(entry, 3);
@@ -341,7 +345,7 @@
   }
 
   private boolean draining() {
-    entry.send(new Message.Ping(1, 0, Message.Load.NONE));
+    entry.send(new Message.Ping(1, version, Message.Load.NONE));
     try {
       return entry.next(Message.Pong.class).load().draining();
     } catch (InterruptedException e) {
--- a/agent/src/test/java/org/oriolewell/agent/TestEntry.java
+++ b/agent/src/test/java/org/oriolewell/agent/TestEntry.java
@@ -54,11 +54,17 @@
   public void onMessage(WireConnection from, Message message) {
     if (message instanceof Message.Ping ping) {
       from.send(new Message.Pong(ping.sequence(), 0, Message.Load.NONE, Map.of()));
-    } else {
+    } else if (!isAboutConfiguration(message)) {
       received.add(message);
     }
   }
 
+  private static boolean isAboutConfiguration(Message message) {
+    return message instanceof Message.ConfigRequest
+        || message instanceof Message.ConfigDelta
+        || message instanceof Message.ConfigSnapshot;
+  }
+
   @Override
   public void onClosed(WireConnection from, @Nullable Throwable cause) {
     closed.countDown();
