Send orders to engines under a fencing token claimed in the store

The configuration's models and roles had no effect on engines. A state machine compares the engine's reported state with the wanted one and sends one order at a time over a connection of its own, naming the claimed fencing token and the state version that the order was decided on, and verifies the effect.

--- a/agent/src/main/java/org/oriolewell/agent/Agent.java
+++ b/agent/src/main/java/org/oriolewell/agent/Agent.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntPredicate;
 import org.eclipse.jetty.client.HttpClient;
+import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.config.ConfigDocument;
 import org.oriolewell.core.config.ConfigMember;
 import org.oriolewell.core.config.UpstreamSpec;
@@ -38,6 +39,7 @@
 public final class Agent implements AutoCloseable {
   private static final int OPERATORS_BODY_BYTES = 64 << 10;
   private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration LINGER = Duration.ofMillis(100);
 
   private final Settings settings;
@@ -52,6 +54,8 @@
   private final WireClient probes;
   private final Shards nonIdempotent;
   private final DrainControl drain;
+  private final HttpClient orderHttp;
+  private final @Nullable EngineOrders orders;
   private final QueryResponder responder = QueryResponder.of(this::rows);
   private final Set<Dialer> dialers = new LinkedHashSet<>();
 
@@ -102,6 +106,17 @@
                 settings.value(AgentSettings.STOP_MAX), settings.value(AgentSettings.RELEASE_MAX)),
             nonIdempotent,
             this::openCalls);
+    orderHttp = HttpClients.startSingle(settings.value(AgentSettings.UPSTREAM_CONNECT_TIMEOUT));
+    orders =
+        settings.value(AgentSettings.UPSTREAM_KIND).equals("engine")
+            ? new EngineOrders(
+                context,
+                new EngineClient(
+                    orderHttp,
+                    URI.create(settings.value(AgentSettings.UPSTREAM_URL)),
+                    ORDER_TIMEOUT),
+                store)
+            : null;
     wire =
         WireServer.of(
             new InetSocketAddress(
@@ -168,6 +183,9 @@
     admission.configure(document);
     UpstreamSpec spec = document.upstreams().get(context.identity().host());
     drain.configured(spec != null && spec.draining());
+    if (orders != null) {
+      orders.configured(document);
+    }
   }
 
   private Upstream upstream(IntPredicate notExecuted) {
@@ -194,6 +212,9 @@
     context.config().tick(context.clock().instant());
     nonIdempotent.tick();
     drain.tick();
+    if (orders != null) {
+      orders.tick();
+    }
   }
 
   private String address() {
@@ -230,6 +251,7 @@
     status.put("queue_delay_micros", load.queueDelayMicros());
     status.put("connections", dialers.size());
     status.put("shards", nonIdempotent.shards());
+    status.put("orders", orders == null ? "none" : orders.state());
     return status;
   }
 
@@ -249,7 +271,7 @@
   }
 
   private String engineRole() {
-    return "";
+    return orders == null ? "" : orders.role();
   }
 
   private int openCalls() {
@@ -266,6 +288,7 @@
     probes.close();
     context.config().close();
     loop.close();
+    HttpClients.stop(orderHttp);
     HttpClients.stop(http);
     log.event(RuntimeEvent.STOPPED).write();
   }
--- a/agent/src/main/java/org/oriolewell/agent/DrainControl.java
+++ b/agent/src/main/java/org/oriolewell/agent/DrainControl.java
@@ -1,5 +1,6 @@
 package org.oriolewell.agent;
 
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.IntSupplier;
 import org.oriolewell.core.drain.DrainAction;
@@ -79,7 +80,7 @@
   private void on(DrainEvent event) {
     String before = machine.state();
     boolean hadTimedOut = machine.timedOut();
-    var actions = machine.on(event, context.clock().instant());
+    final List<DrainAction> actions = machine.on(event, context.clock().instant());
     accepting = machine.accepting();
     if (!before.equals(machine.state())) {
       log(before, event);
@@ -110,6 +111,7 @@
       case RELEASE_SHARDS ->
           nonIdempotent.release(() -> context.loop().execute(() -> on(new DrainEvent.Released())));
       case EXIT -> exit.countDown();
+      default -> throw new IllegalStateException("unknown action " + action);
     }
   }
 }
--- /dev/null
+++ b/agent/src/main/java/org/oriolewell/agent/EngineClient.java
@@ -0,0 +1,148 @@
+package org.oriolewell.agent;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.oriolewell.core.order.EngineState;
+import org.oriolewell.core.order.Model;
+import org.oriolewell.core.order.Order;
+import org.oriolewell.core.order.OrderAction;
+import org.oriolewell.core.order.OrderEvent;
+
+/** Reads an engine's state and sends it orders. */
+final class EngineClient {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final HttpClient client;
+  private final URI base;
+  private final Duration timeout;
+
+  /**
+   * Creates a client.
+   *
+   * @param client HTTP client with a single connection, which keeps orders in sequence also for
+   *     engines that ignore fencing tokens
+   */
+  EngineClient(HttpClient client, URI base, Duration timeout) {
+    this.client = client;
+    this.base = base;
+    this.timeout = timeout;
+  }
+
+  /** Reads the engine's state; the future never fails. */
+  CompletableFuture<OrderEvent> state() {
+    return send(client.newRequest(base).path("/v1/state"))
+        .<OrderEvent>thenApply(answer -> new OrderEvent.StateRead(parse(answer)))
+        .exceptionally(failure -> new OrderEvent.StateFailed());
+  }
+
+  /** Sends an order; the future never fails. */
+  CompletableFuture<OrderEvent> order(OrderAction.Send send) {
+    ObjectNode body =
+        JSON.createObjectNode()
+            .put("fencing", send.fencing())
+            .put("expect", send.expectedVersion());
+    describe(send.order(), body);
+    byte[] bytes;
+    try {
+      bytes = JSON.writeValueAsBytes(body);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("an order cannot be written", e);
+    }
+    return send(client
+            .newRequest(base)
+            .method("POST")
+            .path("/v1/orders")
+            .body(new BytesRequestContent("application/json", bytes)))
+        .<OrderEvent>thenApply(
+            answer ->
+                answer.status() >= 400 && answer.status() < 500
+                    ? new OrderEvent.OrderRefused()
+                    : new OrderEvent.OrderTaken())
+        .exceptionally(failure -> new OrderEvent.OrderUnanswered());
+  }
+
+  private static void describe(Order order, ObjectNode body) {
+    if (order instanceof Order.Load load) {
+      model(body.put("order", "load"), load.model());
+    } else if (order instanceof Order.Unload unload) {
+      model(body.put("order", "unload"), unload.model());
+    } else if (order instanceof Order.Role role) {
+      body.put("order", "role").put("role", role.role());
+    }
+  }
+
+  private static void model(ObjectNode body, Model model) {
+    body.put("model", model.model()).put("version", model.version());
+    if (!model.adapter().isEmpty()) {
+      body.put("adapter", model.adapter());
+    }
+  }
+
+  private static EngineState parse(Answer answer) {
+    JsonNode root;
+    try {
+      root = JSON.readTree(answer.body());
+    } catch (IOException e) {
+      throw new IllegalArgumentException("the engine's state is not JSON", e);
+    }
+    if (answer.status() != 200 || !root.path("role").isTextual()) {
+      throw new IllegalArgumentException("the engine reports no state");
+    }
+    return new EngineState(
+        root.path("state_version").asLong(),
+        root.path("role").textValue(),
+        models(root.path("models")),
+        models(root.path("loading")),
+        root.path("fencing").asLong());
+  }
+
+  private static Set<Model> models(JsonNode nodes) {
+    Set<Model> models = new HashSet<>();
+    nodes.forEach(
+        node ->
+            models.add(
+                new Model(
+                    node.path("model").asText(),
+                    node.path("version").asText(),
+                    node.path("adapter").asText())));
+    return models;
+  }
+
+  private record Answer(int status, byte[] body) {}
+
+  private CompletableFuture<Answer> send(Request request) {
+    CompletableFuture<Answer> answer = new CompletableFuture<>();
+    request
+        .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+        .send(
+            new BufferingResponseListener() {
+              @Override
+              public void onComplete(Result result) {
+                if (result.isFailed()) {
+                  answer.completeExceptionally(result.getFailure());
+                } else {
+                  byte[] content = getContent();
+                  answer.complete(
+                      new Answer(
+                          result.getResponse().getStatus(),
+                          content == null ? new byte[0] : content));
+                }
+              }
+            });
+    return answer;
+  }
+}
--- a/agent/src/main/java/org/oriolewell/agent/HttpClients.java
+++ b/agent/src/main/java/org/oriolewell/agent/HttpClients.java
@@ -12,13 +12,22 @@
   private HttpClients() {}
 
   static HttpClient start(Duration connectTimeout) {
+    return client(connectTimeout, MAX_CONNECTIONS);
+  }
+
+  /** Returns a client that has one connection to each host, so that requests keep their order. */
+  static HttpClient startSingle(Duration connectTimeout) {
+    return client(connectTimeout, 1);
+  }
+
+  private static HttpClient client(Duration connectTimeout, int connections) {
     HttpClient client = new HttpClient();
     QueuedThreadPool threads = new QueuedThreadPool(32, 4);
     threads.setName("http-client");
     client.setExecutor(threads);
     client.setConnectTimeout(connectTimeout.toMillis());
     client.setIdleTimeout(IDLE_TIMEOUT.toMillis());
-    client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
+    client.setMaxConnectionsPerDestination(connections);
     client.setMaxRequestsQueuedPerDestination(MAX_CONNECTIONS);
     // A redirect would send a call to a host that this agent doesn't answer for.
     client.setFollowRedirects(false);
--- /dev/null
+++ b/core/src/main/java/org/oriolewell/core/order/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Orders to a model engine. {@link org.oriolewell.core.order.OrderMachine} brings the engine's
+ * models and role to what the configuration wants, one order at a time, under a fencing token that
+ * it claims in the store.
+ */
+@NullMarked
+package org.oriolewell.core.order;
+
+import org.jspecify.annotations.NullMarked;
