Audit only the executions of the counted part of a run

The audit divided all executions of a stand-in, also those of the warm-up and of earlier runs, by the counted requests: 366 executions for 218 calls in a trial. It now reads the executions since the end of the warm-up.

--- a/loadtool/src/main/java/org/oriolewell/loadtool/Audit.java
+++ b/loadtool/src/main/java/org/oriolewell/loadtool/Audit.java
@@ -34,12 +34,13 @@
   /**
    * Reads the ledgers of stand-ins and audits a run.
    *
+   * @param fromMillis time from which executions count, in milliseconds since the epoch
    * @throws IOException if a ledger can't be read
    */
-  static Audit of(List<URI> standins, List<Ended> ended) throws IOException {
+  static Audit of(List<URI> standins, List<Ended> ended, long fromMillis) throws IOException {
     Audit audit = new Audit();
     for (URI standin : standins) {
-      audit.read(JSON.readTree(Fetch.text(standin.resolve("/executions"))));
+      audit.read(JSON.readTree(Fetch.text(standin.resolve("/executions?after_ms=" + fromMillis))));
     }
     audit.check(ended);
     return audit;
@@ -54,7 +55,7 @@
   }
 
   private void read(JsonNode ledger) {
-    total += ledger.path("total").asLong();
+    total += ledger.path("executions").size();
     dropped += ledger.path("dropped").asLong();
     for (JsonNode execution : ledger.path("executions")) {
       String operation = execution.path("operation").asText();
--- a/loadtool/src/main/java/org/oriolewell/loadtool/LoadMain.java
+++ b/loadtool/src/main/java/org/oriolewell/loadtool/LoadMain.java
@@ -177,7 +177,7 @@
     for (long wait = end - System.nanoTime(); wait > 0; wait = end - System.nanoTime()) {
       LockSupport.parkNanos(wait);
     }
-    Audit audit = Audit.of(options.audit, tally.ended());
+    Audit audit = Audit.of(options.audit, tally.ended(), tally.countedFromMillis());
     if (!audit.clean()) {
       log.event(LoadEvent.AUDIT_FAILED).write();
     }
--- a/loadtool/src/main/java/org/oriolewell/loadtool/LoadRun.java
+++ b/loadtool/src/main/java/org/oriolewell/loadtool/LoadRun.java
@@ -29,7 +29,7 @@
   private final Target target;
   private final @Nullable Settler settler;
   private final ScheduledExecutorService retries;
-  private final Tally tally = new Tally();
+  private final Tally tally;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final long startNanos;
   private final long startMillis;
@@ -75,6 +75,7 @@
     this.retries = retries;
     startNanos = System.nanoTime() + LEAD_NANOS;
     startMillis = clock.millis() + TimeUnit.NANOSECONDS.toMillis(LEAD_NANOS);
+    tally = new Tally(startMillis + workload.warmup().toMillis());
   }
 
   /**
--- a/loadtool/src/main/java/org/oriolewell/loadtool/Tally.java
+++ b/loadtool/src/main/java/org/oriolewell/loadtool/Tally.java
@@ -14,8 +14,22 @@
   private final List<Ended> ended = new ArrayList<>();
   private final Map<Workload.Traffic, Timings> gaps = new ConcurrentHashMap<>();
   private final Map<String, Timings> stages = new ConcurrentHashMap<>();
+  private final long countedFromMillis;
   private volatile int unfinished;
 
+  /**
+   * Creates an empty tally.
+   *
+   * @param countedFromMillis time from which requests count, in milliseconds since the epoch
+   */
+  Tally(long countedFromMillis) {
+    this.countedFromMillis = countedFromMillis;
+  }
+
+  long countedFromMillis() {
+    return countedFromMillis;
+  }
+
   /** Adds a request that counts. */
   void add(Ended request, CallResult last) {
     synchronized (ended) {
--- a/standins/src/test/java/org/oriolewell/standins/StandinsTest.java
+++ b/standins/src/test/java/org/oriolewell/standins/StandinsTest.java
@@ -93,7 +93,8 @@
   @Test
   void closeCutsCallsInFlight() {
     PoolStandin pool = PoolStandin.start("service_time.median_ms = 600000");
-    final CompletableFuture<?> call = Http.send(pool, "POST", "/v1/process", "{\"operation\":\"x\"}");
+    final CompletableFuture<?> call =
+        Http.send(pool, "POST", "/v1/process", "{\"operation\":\"x\"}");
     Await.until(() -> pool.executions().total() == 1);
 
     long start = System.nanoTime();
