--- a/entry/src/main/java/org/oriolewell/entry/EntryEvent.java
+++ b/entry/src/main/java/org/oriolewell/entry/EntryEvent.java
@@ -4,7 +4,7 @@
 import org.oriolewell.runtime.log.LogEvent;
 
 /** Log events of the entry. */
-public enum EntryEvent implements LogEvent {
+enum EntryEvent implements LogEvent {
   ROUTING_DECISION(
       2001,
       Level.INFO,
