--- a/agent/src/main/java/org/oriolewell/agent/Agent.java
+++ b/agent/src/main/java/org/oriolewell/agent/Agent.java
@@ -1,7 +1,5 @@
 package org.oriolewell.agent;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.security.SecureRandom;
@@ -9,12 +7,19 @@
 import java.time.InstantSource;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntPredicate;
 import org.eclipse.jetty.client.HttpClient;
+import org.oriolewell.core.config.ConfigDocument;
+import org.oriolewell.core.config.ConfigMember;
+import org.oriolewell.core.config.UpstreamSpec;
+import org.oriolewell.core.config.language.Subject;
+import org.oriolewell.core.drain.DrainSettings;
+import org.oriolewell.runtime.admin.QueryResponder;
+import org.oriolewell.runtime.config.ConfigService;
 import org.oriolewell.runtime.http.JsonServer;
 import org.oriolewell.runtime.http.OperatorsPort;
 import org.oriolewell.runtime.log.EventLog;
@@ -23,6 +28,7 @@
 import org.oriolewell.runtime.platform.KeyValueStore;
 import org.oriolewell.runtime.settings.Settings;
 import org.oriolewell.runtime.wire.Message;
+import org.oriolewell.runtime.wire.WireClient;
 import org.oriolewell.runtime.wire.WireServer;
 
 /**
@@ -30,9 +36,9 @@
  * Closing it is a planned stop that finishes the calls in flight.
  */
 public final class Agent implements AutoCloseable {
-  private static final ObjectMapper JSON = new ObjectMapper();
   private static final int OPERATORS_BODY_BYTES = 64 << 10;
   private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration LINGER = Duration.ofMillis(100);
 
   private final Settings settings;
   private final EventLog log;
@@ -41,11 +47,13 @@
   private final AgentContext context;
   private final WireServer wire;
   private final JsonServer operators;
+  private final SharedAdmission admission;
   private final Service service = new Service();
-  private final NonIdempotentCalls nonIdempotent = new NoNonIdempotentCalls();
+  private final WireClient probes;
+  private final Shards nonIdempotent;
+  private final DrainControl drain;
+  private final QueryResponder responder = QueryResponder.of(this::rows);
   private final Set<Dialer> dialers = new LinkedHashSet<>();
-  private final CountDownLatch idle = new CountDownLatch(1);
-  private volatile boolean draining;
 
   private Agent(Settings settings, InstantSource clock) {
     this.settings = settings;
@@ -57,9 +65,13 @@
             http,
             URI.create(settings.value(AgentSettings.STORE_URL)),
             settings.value(AgentSettings.STORE_TIMEOUT));
-    AgentIdentity identity = AgentIdentity.of(settings, new SecureRandom());
-    ConfigFeed config =
-        PollingConfig.start(store, loop, log, settings.value(AgentSettings.CONFIG_POLL));
+    SecureRandom random = new SecureRandom();
+    AgentIdentity identity = AgentIdentity.of(settings, random);
+    ConfigService distribution =
+        ConfigService.start(
+            new ConfigMember(identity.host(), identity.region()), false, store, random, clock, log);
+    final ConfigFeed config = new DistributedConfig(distribution, loop);
+    admission = admission();
     context =
         new AgentContext(
             identity,
@@ -67,11 +79,29 @@
             loop,
             log,
             new AgentMetrics(),
-            new FixedLimitAdmission(
-                settings.value(AgentSettings.LIMIT), settings.value(AgentSettings.QUEUE_SIZE)),
+            admission,
             upstream(status -> config.notExecuted(identity.pool(), status)),
             config,
             settings.value(AgentSettings.FRAME_BYTES));
+    probes =
+        WireClient.start(
+            settings.value(AgentSettings.PROBE_TIMEOUT), context.maxFrameBytes(), null);
+    nonIdempotent =
+        new Shards(
+            context,
+            new ShardStore(store, context.metrics(), log),
+            AgentSettings.shardSettings(settings),
+            this::address,
+            () ->
+                new OwnerProbe(
+                    probes, settings.value(AgentSettings.PROBE_TIMEOUT), service.hello()));
+    drain =
+        new DrainControl(
+            context,
+            new DrainSettings(
+                settings.value(AgentSettings.STOP_MAX), settings.value(AgentSettings.RELEASE_MAX)),
+            nonIdempotent,
+            this::openCalls);
     wire =
         WireServer.of(
             new InetSocketAddress(
@@ -90,7 +120,7 @@
                 OPERATORS_BODY_BYTES,
                 log),
             context.metrics().registry(),
-            () -> !draining,
+            drain::accepting,
             () -> loop.ask(this::status));
     context.metrics().watch(() -> loop.ask(service::load));
   }
@@ -114,7 +144,8 @@
                         dialer.checkLiveness(
                             settings.value(AgentSettings.HEARTBEAT),
                             settings.value(AgentSettings.DIALER_TIMEOUT))));
-    agent.loop.every(TICK, () -> agent.context.admission().tick(agent.context.clock().instant()));
+    agent.loop.every(TICK, agent::tick);
+    agent.context.config().onChange(agent::configured);
     agent
         .log
         .event(RuntimeEvent.STARTED)
@@ -123,6 +154,22 @@
     return agent;
   }
 
+  private SharedAdmission admission() {
+    int limit = settings.value(AgentSettings.LIMIT);
+    return new SharedAdmission(
+        Math.min(limit, settings.value(AgentSettings.MIN_LIMIT)),
+        limit,
+        Math.max(limit, settings.value(AgentSettings.MAX_LIMIT)),
+        settings.value(AgentSettings.QUEUE_SIZE),
+        System::nanoTime);
+  }
+
+  private void configured(ConfigDocument document) {
+    admission.configure(document);
+    UpstreamSpec spec = document.upstreams().get(context.identity().host());
+    drain.configured(spec != null && spec.draining());
+  }
+
   private Upstream upstream(IntPredicate notExecuted) {
     URI url = URI.create(settings.value(AgentSettings.UPSTREAM_URL));
     Duration timeout = settings.value(AgentSettings.UPSTREAM_TIMEOUT);
@@ -142,6 +189,17 @@
     };
   }
 
+  private void tick() {
+    admission.tick();
+    context.config().tick(context.clock().instant());
+    nonIdempotent.tick();
+    drain.tick();
+  }
+
+  private String address() {
+    return settings.value(AgentSettings.WIRE_ADDRESS) + ":" + wireAddress().getPort();
+  }
+
   /** Returns the bound address for entries. */
   public InetSocketAddress wireAddress() {
     return wire.address();
@@ -165,6 +223,7 @@
     status.put("region", identity.region());
     status.put("config_version", context.config().current().version());
     status.put("draining", load.draining());
+    status.put("drain_state", drain.state());
     status.put("in_flight", load.inFlight());
     status.put("queued", load.queued());
     status.put("limit", load.limit());
@@ -174,6 +233,25 @@
     return status;
   }
 
+  /** Returns what {@code show upstreams} and {@code show versions} list for this agent. */
+  private List<Map<String, Object>> rows(Subject subject) {
+    Map<String, Object> status = status();
+    if (subject == Subject.VERSIONS) {
+      status.put("version", status.get("config_version"));
+      return List.of(status);
+    }
+    if (subject != Subject.UPSTREAMS) {
+      return List.of();
+    }
+    status.put("role", engineRole());
+    status.put("queue_delay_ms", service.load().queueDelayMicros() / 1000);
+    return List.of(status);
+  }
+
+  private String engineRole() {
+    return "";
+  }
+
   private int openCalls() {
     return dialers.stream().mapToInt(Dialer::callCount).sum();
   }
@@ -181,26 +259,23 @@
   @Override
   public void close() {
     log.event(RuntimeEvent.STOPPING).write();
-    loop.execute(
-        () -> {
-          draining = true;
-          service.callEnded();
-        });
-    awaitIdle();
+    loop.execute(drain::stop);
+    awaitExit();
     wire.close();
     operators.close();
+    probes.close();
     context.config().close();
     loop.close();
     HttpClients.stop(http);
     log.event(RuntimeEvent.STOPPED).write();
   }
 
-  private void awaitIdle() {
-    Duration max = settings.value(AgentSettings.STOP_MAX);
+  /** Waits until the drain's state machine ends the process; its time limits bound the wait. */
+  private void awaitExit() {
     try {
-      if (!idle.await(max.toMillis(), TimeUnit.MILLISECONDS)) {
-        log.event(AgentEvent.DRAIN_TIMED_OUT).write();
-      }
+      drain.exit().await();
+      // Answers that were just sent reach the network, and late calls are still refused as not run.
+      TimeUnit.MILLISECONDS.sleep(LINGER.toMillis());
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -219,19 +294,17 @@
 
     @Override
     public void callEnded() {
-      if (draining && openCalls() == 0) {
-        idle.countDown();
-      }
+      drain.callEnded();
     }
 
     @Override
     public boolean draining() {
-      return draining;
+      return !drain.accepting();
     }
 
     @Override
     public Message.Load load() {
-      return context.admission().load(draining);
+      return context.admission().load(!drain.accepting());
     }
 
     @Override
@@ -262,11 +335,7 @@
 
     @Override
     public byte[] answer(byte[] question) {
-      try {
-        return JSON.writeValueAsBytes(status());
-      } catch (JsonProcessingException e) {
-        throw new IllegalStateException("the status cannot be written", e);
-      }
+      return responder.answer(question);
     }
   }
 }
--- a/agent/src/main/java/org/oriolewell/agent/AgentSettings.java
+++ b/agent/src/main/java/org/oriolewell/agent/AgentSettings.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.oriolewell.core.call.ShardSettings;
 import org.oriolewell.runtime.settings.Setting;
+import org.oriolewell.runtime.settings.Settings;
 import org.oriolewell.runtime.settings.SettingsSpec;
 import org.oriolewell.runtime.wire.WireConnection;
 
@@ -122,22 +124,24 @@
           Duration.ofMinutes(1),
           "Time after which a call to the key-value service counts as unanswered.");
 
-  /** Time between two reads of the configuration. */
-  public static final Setting<Duration> CONFIG_POLL =
-      Setting.millis(
-          "store.config_poll_millis",
-          Duration.ofSeconds(1),
-          Duration.ofMillis(10),
-          Duration.ofMinutes(10),
-          "Time between two reads of the configuration.");
-
   /** Calls that may wait. */
   public static final Setting<Integer> QUEUE_SIZE =
       Setting.integer("admission.queue_size", 512, 0, 1 << 20, "Calls that may wait.");
 
-  /** Calls that may be at the upstream at once. */
+  /** Calls that may be at the upstream at once, at the start. */
   public static final Setting<Integer> LIMIT =
-      Setting.integer("admission.limit", 64, 1, 1 << 16, "Calls at the upstream at once.");
+      Setting.integer(
+          "admission.limit", 64, 1, 1 << 16, "Calls at the upstream at once, at the start.");
+
+  /** Lowest value of the adaptive limit. */
+  public static final Setting<Integer> MIN_LIMIT =
+      Setting.integer(
+          "admission.min_limit", 4, 1, 1 << 16, "Lowest limit that adapting to latency sets.");
+
+  /** Highest value of the adaptive limit. */
+  public static final Setting<Integer> MAX_LIMIT =
+      Setting.integer(
+          "admission.max_limit", 1024, 1, 1 << 16, "Highest limit that adapting to latency sets.");
 
   /** Longest planned stop. */
   public static final Setting<Duration> STOP_MAX =
@@ -148,6 +152,60 @@
           Duration.ofMinutes(30),
           "Longest time that a planned stop waits for calls in flight.");
 
+  /** Longest wait for the release of shards. */
+  public static final Setting<Duration> RELEASE_MAX =
+      Setting.millis(
+          "stop.release_max_millis",
+          Duration.ofSeconds(2),
+          Duration.ofMillis(10),
+          Duration.ofMinutes(1),
+          "Longest time that a planned stop waits for the store to take back shards.");
+
+  /** Age from which a key is refused. */
+  public static final Setting<Duration> KEY_LIFETIME =
+      Setting.millis(
+          "calls.key_lifetime_millis",
+          ShardSettings.defaults().lifetime(),
+          Duration.ofSeconds(1),
+          Duration.ofDays(1),
+          "Age from which an idempotency key is refused; the same at all agents of a pool.");
+
+  /** How far an execution window reaches into the past. */
+  public static final Setting<Duration> WINDOW_LAG =
+      Setting.millis(
+          "calls.window_lag_millis",
+          ShardSettings.defaults().lag(),
+          Duration.ofMillis(100),
+          Duration.ofMinutes(10),
+          "How far an execution window reaches into the past.");
+
+  /** How far an execution window reaches into the future. */
+  public static final Setting<Duration> WINDOW_LEAD =
+      Setting.millis(
+          "calls.window_lead_millis",
+          ShardSettings.defaults().lead(),
+          Duration.ofMillis(100),
+          Duration.ofMinutes(1),
+          "How far an execution window reaches into the future.");
+
+  /** Time between two writes of a shard's record. */
+  public static final Setting<Duration> WRITE_INTERVAL =
+      Setting.millis(
+          "calls.write_interval_millis",
+          ShardSettings.defaults().interval(),
+          Duration.ofMillis(50),
+          Duration.ofMinutes(1),
+          "Time between two writes of a shard's record while calls arrive.");
+
+  /** Time after which a shard's silent owner counts as gone. */
+  public static final Setting<Duration> PROBE_TIMEOUT =
+      Setting.millis(
+          "calls.probe_timeout_millis",
+          Duration.ofMillis(500),
+          Duration.ofMillis(10),
+          Duration.ofSeconds(30),
+          "Time after which a shard's owner that does not answer a probe counts as gone.");
+
   /** All settings, in the order they are printed. */
   public static final SettingsSpec SPEC =
       SettingsSpec.of(
@@ -172,10 +230,30 @@
               DEFAULT_MAX_TOKENS,
               STORE_URL,
               STORE_TIMEOUT,
-              CONFIG_POLL,
               QUEUE_SIZE,
               LIMIT,
-              STOP_MAX));
+              MIN_LIMIT,
+              MAX_LIMIT,
+              STOP_MAX,
+              RELEASE_MAX,
+              KEY_LIFETIME,
+              WINDOW_LAG,
+              WINDOW_LEAD,
+              WRITE_INTERVAL,
+              PROBE_TIMEOUT));
 
   private AgentSettings() {}
+
+  /** Returns the settings of shards. */
+  static ShardSettings shardSettings(Settings settings) {
+    ShardSettings defaults = ShardSettings.defaults();
+    return new ShardSettings(
+        settings.value(KEY_LIFETIME),
+        settings.value(WINDOW_LAG),
+        settings.value(WINDOW_LEAD),
+        settings.value(WRITE_INTERVAL),
+        defaults.maxSkew(),
+        defaults.segmentCalls(),
+        defaults.maxOutputBytes());
+  }
 }
--- a/agent/src/main/java/org/oriolewell/agent/Dialer.java
+++ b/agent/src/main/java/org/oriolewell/agent/Dialer.java
@@ -8,8 +8,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.runtime.config.ConfigPeer;
 import org.oriolewell.runtime.log.RuntimeEvent;
 import org.oriolewell.runtime.wire.Message;
 import org.oriolewell.runtime.wire.Message.RefusalKind;
@@ -28,7 +30,8 @@
   private final Map<Long, ActiveCall> calls = new HashMap<>();
   private @Nullable WireConnection connection;
   private String peer = "";
-  private boolean closed;
+  private @Nullable ConfigPeer configPeer;
+  private volatile boolean closed;
   private Instant lastHeard;
   private long pingSequence;
 
@@ -74,6 +77,9 @@
           .write();
     }
     service.closed(this);
+    if (configPeer != null) {
+      context.config().disconnected(configPeer);
+    }
     List.copyOf(calls.values()).forEach(ActiveCall::cancel);
     calls.clear();
   }
@@ -97,12 +103,13 @@
     } else if (message instanceof Message.Call call) {
       begin(call);
     } else if (message instanceof Message.Ping ping) {
+      heardVersion(ping.configVersion());
       send(service.pong(ping));
     } else if (message instanceof Message.Settle question) {
       service.nonIdempotent().settle(this, question);
     } else if (message instanceof Message.Query query) {
       send(new Message.QueryResult(query.id(), service.answer(query.question())));
-    } else if (!handleForCall(message) && !isIgnored(message)) {
+    } else if (!handleForCall(message) && !handleForConfig(message)) {
       violate("a dialer must not send " + message.getClass().getSimpleName());
     }
   }
@@ -126,11 +133,12 @@
     return true;
   }
 
-  private static boolean isIgnored(Message message) {
-    return message instanceof Message.Pong
-        || message instanceof Message.ConfigRequest
-        || message instanceof Message.ConfigDelta
-        || message instanceof Message.ConfigSnapshot;
+  private boolean handleForConfig(Message message) {
+    if (message instanceof Message.Pong pong) {
+      heardVersion(pong.configVersion());
+      return true;
+    }
+    return configPeer != null && context.config().received(configPeer, message);
   }
 
   /** Runs an action for a call; a call that has just ended may still be named by the dialer. */
@@ -146,6 +154,29 @@
       violate("the peer speaks protocol version " + hello.version());
     } else {
       peer = hello.process();
+      configPeer = peer(hello.region());
+      context.config().connected(configPeer, hello.configVersion());
+    }
+  }
+
+  private ConfigPeer peer(String region) {
+    return new ConfigPeer() {
+      @Override
+      public String region() {
+        return region;
+      }
+
+      @Override
+      public boolean send(Message message) {
+        context.loop().execute(() -> Dialer.this.send(message));
+        return !closed;
+      }
+    };
+  }
+
+  private void heardVersion(long version) {
+    if (configPeer != null) {
+      context.config().heard(configPeer, version);
     }
   }
 
@@ -169,7 +200,13 @@
       return;
     }
     UpstreamCall call = read(message);
-    if (call != null) {
+    Optional<Refusal> refusal =
+        call == null || message.idempotent()
+            ? Optional.empty()
+            : service.nonIdempotent().check(call);
+    if (refusal.isPresent()) {
+      refuse(message, refusal.get());
+    } else if (call != null) {
       ActiveCall active =
           message.idempotent()
               ? new IdempotentCall(context, this, call)
@@ -254,6 +291,11 @@
         .write();
   }
 
+  /** Takes note that a call ended whose dialer had been answered before. */
+  void callEnded() {
+    service.callEnded();
+  }
+
   /** Returns the number of calls that have not ended. */
   int callCount() {
     return calls.size();
--- a/entry/src/test/java/org/oriolewell/entry/TestBed.java
+++ b/entry/src/test/java/org/oriolewell/entry/TestBed.java
@@ -45,7 +45,10 @@
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 1 << 20,
                 EventLog.of("test", InstantSource.system()))
-            .route("GET", "/v1/kv/config/document", call -> document(config))
+            .route(
+                "GET",
+                "/v1/kv/config/document",
+                call -> document(config, call.query("after").isPresent()))
             .start("store");
     String text =
         "store.url = \"http://127.0.0.1:"
@@ -53,7 +56,7 @@
             + "\"\ncallers.port = 0\noperators.port = 0\nentry.zone = \"z1\"\nentry.region = \"r1\""
             + "\nagents.static = ["
             + Stream.of(agents)
-                .map(agent -> '"' + agent.address() + '"')
+                .map(agent -> '"' + agent.name + '@' + agent.address() + '"')
                 .collect(Collectors.joining(","))
             + "]\n"
             + moreSettings;
@@ -72,10 +75,11 @@
     return new TestBed(ConfigDocument.empty(), "");
   }
 
-  private static CompletableFuture<HttpReply> document(ConfigDocument config) {
+  /** Answers a read with the document and a watch with its timeout. */
+  private static CompletableFuture<HttpReply> document(ConfigDocument config, boolean watch) {
     return CompletableFuture.completedFuture(
-        config.version() == 0
-            ? HttpReply.text(404, "")
+        watch || config.version() == 0
+            ? HttpReply.text(watch ? 304 : 404, "")
             : HttpReply.bytes(200, ConfigJson.write(config), Map.of("Revision", "1")));
   }
 
