--- a/bench/src/main/java/org/oriolewell/bench/calls/CallRecordComparison.java
+++ b/bench/src/main/java/org/oriolewell/bench/calls/CallRecordComparison.java
@@ -5,13 +5,13 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
-import org.oriolewell.bench.model.VirtualTime;
 import org.HdrHistogram.Histogram;
+import org.oriolewell.bench.model.VirtualTime;
 
 /**
  * Compares ways to record non-idempotent calls: store writes for each call, latency added before a
- * call starts, and the share of calls that start during a store outage. Virtual time; a model, not a
- * measurement of processes.
+ * call starts, and the share of calls that start during a store outage. Virtual time; a model, not
+ * a measurement of processes.
  *
  * <p>Run: {@code java -cp ... org.oriolewell.bench.calls.CallRecordComparison}.
  */
--- a/bench/src/main/java/org/oriolewell/bench/calls/IntentLog.java
+++ b/bench/src/main/java/org/oriolewell/bench/calls/IntentLog.java
@@ -5,8 +5,8 @@
 import org.oriolewell.bench.model.VirtualTime;
 
 /**
- * Baseline: an intent is written before each call. With batching, all calls that arrive while a write
- * is pending, or during a linger time before it, share the next one.
+ * Baseline: an intent is written before each call. With batching, all calls that arrive while a
+ * write is pending, or during a linger time before it, share the next one.
  */
 final class IntentLog implements CallLog {
   private record Waiting(Runnable start, Runnable refuse) {}
@@ -46,8 +46,7 @@
   }
 
   private void write() {
-    List<Waiting> batch =
-        new ArrayList<>(waiting.subList(0, Math.min(maxBatch, waiting.size())));
+    List<Waiting> batch = new ArrayList<>(waiting.subList(0, Math.min(maxBatch, waiting.size())));
     waiting.subList(0, batch.size()).clear();
     store.write(
         acknowledged -> {
--- a/bench/src/main/java/org/oriolewell/bench/calls/WindowLog.java
+++ b/bench/src/main/java/org/oriolewell/bench/calls/WindowLog.java
@@ -38,8 +38,7 @@
    *
    * @param grant round trip of the permission
    */
-  WindowLog(
-      VirtualTime time, ModelStore store, String shard, Random random, Duration grant) {
+  WindowLog(VirtualTime time, ModelStore store, String shard, Random random, Duration grant) {
     this.time = time;
     this.store = store;
     this.random = random;
@@ -99,10 +98,7 @@
       }
       time.after(
           SERVICE_NANOS,
-          () ->
-              on(
-                  new ShardEvent.Finished(
-                      run.call(), CallRecord.State.ANSWERED, new byte[64])));
+          () -> on(new ShardEvent.Finished(run.call(), CallRecord.State.ANSWERED, new byte[64])));
     }
   }
 
