--- a/runtime/src/main/java/org/oriolewell/runtime/admin/CommandService.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/admin/CommandService.java
@@ -211,10 +211,18 @@
                     "The store can't be read, so the outcome is not known; ask again.",
                     Map.of("outcome", "unknown", "command_id", id));
               }
+              requireOwn(token, change);
               return change.map(CommandService::accepted).orElseThrow(() -> notFound(id));
             });
   }
 
+  private static void requireOwn(AdminToken token, Optional<ChangeRecord> change) {
+    boolean own = change.map(c -> c.operator().equals(token.operator())).orElse(true);
+    if (!token.unlimited() && !own) {
+      throw QueryService.forbidden();
+    }
+  }
+
   private static HttpReply accepted(ChangeRecord change) {
     return HttpReply.json(
         200,
