Let a second settlement question wait for the write

Cause: a second question about a key was answered from memory before the settlement was written; a later owner could then run the key. Found by reading the code. Change: such a question waits for the next write; write ids differ between machines that one process makes for a shard.

--- a/core/src/main/java/org/oriolewell/core/call/ShardOwner.java
+++ b/core/src/main/java/org/oriolewell/core/call/ShardOwner.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.call.ShardAction.Verdict;
 import org.oriolewell.core.statechart.StateChart;
@@ -27,6 +28,9 @@
   private static final StateChart CHART = StateChart.load("shard-owner");
   private static final long RETRY_MILLIS = 100;
 
+  /** Tells apart the writes of machines that one process makes for a shard one after another. */
+  private static final AtomicLong INSTANCES = new AtomicLong();
+
   /** Bounds the writes that calls outside the window cause, to 40 a second. */
   private static final long MIN_WRITE_GAP_MILLIS = 25;
 
@@ -35,6 +39,7 @@
 
   private final String shard;
   private final String process;
+  private final String writePrefix;
   private final String address;
   private final ShardSettings settings;
   private final CallTable table = new CallTable();
@@ -59,6 +64,7 @@
   private ShardOwner(String shard, String process, String address, ShardSettings settings) {
     this.shard = shard;
     this.process = process;
+    this.writePrefix = process + "/" + INSTANCES.incrementAndGet() + "/";
     this.address = address;
     this.settings = settings;
   }
@@ -347,7 +353,7 @@
         epoch,
         owner,
         owner == null ? null : address,
-        process + "/" + ++writes,
+        writePrefix + ++writes,
         window,
         ambiguous.stream().filter(range -> range.until() >= lowWater).distinct().toList(),
         lowWater,
@@ -533,6 +539,9 @@
     CallRecord record = table.recorded(settle.id());
     if (acknowledged == null) {
       refuseSettle(settle.question());
+    } else if (unsettled.containsValue(settle.id()) || settling.containsValue(settle.id())) {
+      // Only a written settlement binds a later owner, so this question waits for the write too.
+      unsettled.put(settle.question(), settle.id());
     } else if (record != null) {
       Verdict verdict = verdict(record);
       actions.add(new ShardAction.Settled(settle.question(), verdict, record.output()));
@@ -597,7 +606,7 @@
     freeSegmentName(record.epoch())
         .ifPresent(
             name -> {
-              Segment segment = new Segment(process + "/" + ++writes, finished);
+              Segment segment = new Segment(writePrefix + ++writes, finished);
               pendingSegment = segment;
               pendingSegmentName = name;
               actions.add(new ShardAction.WriteSegment(name, segment));
--- a/core/src/test/java/org/oriolewell/core/call/ShardOwnerTest.java
+++ b/core/src/test/java/org/oriolewell/core/call/ShardOwnerTest.java
@@ -177,6 +177,18 @@
         .containsExactly(new ShardAction.Reply(1, Verdict.SETTLED_NOT_RUN, null));
   }
 
+  /** Guards against a second question that is answered before the settlement is written. */
+  @Test
+  void secondQuestionWaitsForTheSettlementsWrite() {
+    acquire();
+    ShardRecord written = written(owner.on(new ShardEvent.Settle(5, id(1), NOW), at(NOW + 100)));
+
+    assertThat(on(new ShardEvent.Settle(6, id(1), NOW))).isEmpty();
+    assertThat(on(new ShardEvent.WriteAcknowledged(written.writeId(), 2)))
+        .contains(new ShardAction.Settled(5, Verdict.SETTLED_NOT_RUN, null))
+        .doesNotContain(new ShardAction.Settled(6, Verdict.SETTLED_NOT_RUN, null));
+  }
+
   /** Guards against running a key whose record may have been dropped already. */
   @Test
   void keyOlderThanTheRecordIsNeverRun() {
