Send heartbeats only where they are needed; use TLS in the agent

Cause: heartbeats each 250 ms on every connection need 201 bytes each, 51 times the 4 KB/s a node may spend at the target (docs/CAPACITY.md). The agent's ports had no TLS. Change: an entry sends a heartbeat after 250 ms of silence only while it has calls at the agent, else after 2 s; the agent reads the TLS settings. Failure tests choose the agent that owns a shard and wait for the takeover, since the former version froze one without shards.

--- a/agent/src/main/java/org/oriolewell/agent/Agent.java
+++ b/agent/src/main/java/org/oriolewell/agent/Agent.java
@@ -1,5 +1,6 @@
 package org.oriolewell.agent;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.security.SecureRandom;
@@ -13,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntPredicate;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.config.ConfigDocument;
 import org.oriolewell.core.config.ConfigMember;
@@ -28,6 +30,7 @@
 import org.oriolewell.runtime.platform.HttpKeyValueStore;
 import org.oriolewell.runtime.platform.KeyValueStore;
 import org.oriolewell.runtime.settings.Settings;
+import org.oriolewell.runtime.tls.Tls;
 import org.oriolewell.runtime.wire.Message;
 import org.oriolewell.runtime.wire.WireClient;
 import org.oriolewell.runtime.wire.WireServer;
@@ -47,6 +50,7 @@
   private final Loop loop;
   private final HttpClient http;
   private final AgentContext context;
+  private final @Nullable Tls tls;
   private final WireServer wire;
   private final JsonServer operators;
   private final SharedAdmission admission;
@@ -62,6 +66,7 @@
   private Agent(Settings settings, InstantSource clock) {
     this.settings = settings;
     log = EventLog.of("agent", clock);
+    tls = readTls(settings, log);
     loop = Loop.start(log);
     http = HttpClients.start(settings.value(AgentSettings.UPSTREAM_CONNECT_TIMEOUT));
     KeyValueStore store =
@@ -89,7 +94,9 @@
             settings.value(AgentSettings.FRAME_BYTES));
     probes =
         WireClient.start(
-            settings.value(AgentSettings.PROBE_TIMEOUT), context.maxFrameBytes(), null);
+            settings.value(AgentSettings.PROBE_TIMEOUT),
+            context.maxFrameBytes(),
+            tls == null ? null : clientTls(tls));
     nonIdempotent =
         new Shards(
             context,
@@ -124,7 +131,7 @@
                 settings.value(AgentSettings.WIRE_PORT)),
             () -> new Dialer(context, service),
             context.maxFrameBytes(),
-            null,
+            tls == null ? null : serverTls(tls),
             log);
     operators =
         OperatorsPort.addRoutes(
@@ -140,6 +147,31 @@
     context.metrics().watch(() -> loop.ask(service::load));
   }
 
+  private static @Nullable Tls readTls(Settings settings, EventLog log) {
+    try {
+      return Tls.fromSettings(settings, log).orElse(null);
+    } catch (IOException e) {
+      throw new IllegalStateException("the TLS files cannot be used: " + e.getMessage(), e);
+    }
+  }
+
+  private static SslContextFactory.Client clientTls(Tls tls) {
+    try {
+      return tls.client();
+    } catch (IOException e) {
+      throw new IllegalStateException("the TLS files cannot be used: " + e.getMessage(), e);
+    }
+  }
+
+  /** Both sides show a certificate, so a process without a valid one can't call the upstream. */
+  private static SslContextFactory.Server serverTls(Tls tls) {
+    try {
+      return tls.server(true);
+    } catch (IOException e) {
+      throw new IllegalStateException("the TLS files cannot be used: " + e.getMessage(), e);
+    }
+  }
+
   /**
    * Starts an agent.
    *
@@ -290,6 +322,9 @@
     loop.close();
     HttpClients.stop(orderHttp);
     HttpClients.stop(http);
+    if (tls != null) {
+      tls.close();
+    }
     log.event(RuntimeEvent.STOPPED).write();
   }
 
--- a/agent/src/main/java/org/oriolewell/agent/AgentSettings.java
+++ b/agent/src/main/java/org/oriolewell/agent/AgentSettings.java
@@ -6,6 +6,7 @@
 import org.oriolewell.runtime.settings.Setting;
 import org.oriolewell.runtime.settings.Settings;
 import org.oriolewell.runtime.settings.SettingsSpec;
+import org.oriolewell.runtime.tls.Tls;
 import org.oriolewell.runtime.wire.WireConnection;
 
 /** Settings of the agent. {@code oriolewell-agent --print-defaults} prints them. */
@@ -240,7 +241,10 @@
               WINDOW_LAG,
               WINDOW_LEAD,
               WRITE_INTERVAL,
-              PROBE_TIMEOUT));
+              PROBE_TIMEOUT,
+              Tls.CERTIFICATE,
+              Tls.KEY,
+              Tls.AUTHORITIES));
 
   private AgentSettings() {}
 
--- a/entry/src/main/java/org/oriolewell/entry/AgentDirectory.java
+++ b/entry/src/main/java/org/oriolewell/entry/AgentDirectory.java
@@ -45,7 +45,7 @@
   private final Map<String, AgentLink> links = new ConcurrentHashMap<>();
   private final Map<String, PoolRouter> routers = new ConcurrentHashMap<>();
   private final Map<String, AgentProposal> proposals = new HashMap<>();
-  private final Map<String, Instant> nextPing = new HashMap<>();
+  private final Map<String, Instant> lastPing = new HashMap<>();
   private final Instant start;
   private volatile Map<String, List<AgentLink>> pools = Map.of();
   private long configVersion;
@@ -53,10 +53,12 @@
   /**
    * Times of the directory.
    *
-   * @param ping time between heartbeats
+   * @param ping time of silence after which an agent with calls in flight is sent a heartbeat
+   * @param idlePing time between heartbeats to an agent without calls in flight; it bounds how long
+   *     a configuration version that a lost push carried stays unknown
    * @param dead time after which an agent that doesn't answer is dead
    */
-  record Settings(Duration ping, Duration dead) {}
+  record Settings(Duration ping, Duration idlePing, Duration dead) {}
 
   /**
    * Creates a directory.
@@ -156,10 +158,9 @@
     } else if (connected && !wanted && link.inFlight() == 0) {
       work.add(link::disconnect);
     } else if (connected) {
-      Instant due = nextPing.getOrDefault(link.name(), Instant.EPOCH);
       Instant instant = context.clock().instant();
-      if (!instant.isBefore(due)) {
-        nextPing.put(link.name(), instant.plus(settings.ping()));
+      if (pingIsDue(link, instant)) {
+        lastPing.put(link.name(), instant);
         membership.probed(link.name(), now);
         work.add(link::ping);
       }
@@ -168,6 +169,14 @@
     }
   }
 
+  /** Any message shows that an agent lives, so only silence calls for a heartbeat. */
+  private boolean pingIsDue(AgentLink link, Instant instant) {
+    Duration interval = link.inFlight() > 0 ? settings.ping() : settings.idlePing();
+    Instant ping = lastPing.getOrDefault(link.name(), Instant.EPOCH);
+    Instant last = ping.isAfter(link.lastHeard()) ? ping : link.lastHeard();
+    return !instant.isBefore(last.plus(interval));
+  }
+
   private boolean isWanted(AgentLink link, MemberState state) {
     String pool = pool(link);
     if (pool.isEmpty() || state == MemberState.LEAVING) {
--- a/entry/src/main/java/org/oriolewell/entry/AgentLink.java
+++ b/entry/src/main/java/org/oriolewell/entry/AgentLink.java
@@ -35,6 +35,7 @@
   private volatile @Nullable Peer peer;
   private volatile @Nullable WireConnection connection;
   private volatile Instant openedAt = Instant.EPOCH;
+  private volatile Instant lastHeard = Instant.EPOCH;
   private volatile boolean usable;
   private volatile boolean closed;
 
@@ -172,6 +173,11 @@
     return answer.whenComplete((value, failure) -> settles.remove(id));
   }
 
+  /** Returns when the agent's last message arrived. */
+  Instant lastHeard() {
+    return lastHeard;
+  }
+
   /** Opens a connection, unless one is open or being opened. */
   void dial() {
     if (closed || connection != null || !dialing.compareAndSet(false, true)) {
@@ -232,6 +238,7 @@
       if (from != connection) {
         return; // The connection was closed while its last bytes were being read.
       }
+      lastHeard = context.clock().instant();
       if (message instanceof Message.Hello hello) {
         greeted(from, hello);
       } else if (message instanceof Message.Pong pong) {
--- a/entry/src/main/java/org/oriolewell/entry/Entry.java
+++ b/entry/src/main/java/org/oriolewell/entry/Entry.java
@@ -172,7 +172,7 @@
             ping, dead.minus(ping), value(EntrySettings.FIRST_REDIAL), MAX_REDIAL);
     return new AgentDirectory(
         value(EntrySettings.AGENTS).stream().map(Entry::staticAgent).toList(),
-        new AgentDirectory.Settings(ping, dead),
+        new AgentDirectory.Settings(ping, value(EntrySettings.IDLE_PING), dead),
         this::document,
         context,
         Membership.create(times, random),
--- a/entry/src/main/java/org/oriolewell/entry/EntrySettings.java
+++ b/entry/src/main/java/org/oriolewell/entry/EntrySettings.java
@@ -49,7 +49,19 @@
       Setting.strings(
           "agents.static", List.of(), "Agents as NAME@IP:PORT or IP:PORT, besides the host list.");
   static final Setting<Duration> PING =
-      millis("agents.ping_millis", 250, 10, 10_000, "Time between heartbeats.");
+      millis(
+          "agents.ping_millis",
+          250,
+          10,
+          10_000,
+          "Silence after which an agent with calls in flight is sent a heartbeat.");
+  static final Setting<Duration> IDLE_PING =
+      millis(
+          "agents.idle_ping_millis",
+          2000,
+          10,
+          60_000,
+          "Silence after which an agent without calls in flight is sent a heartbeat.");
   static final Setting<Duration> DEAD =
       millis(
           "agents.dead_millis", 750, 30, 60_000, "Time without PONG after which an agent is dead.");
@@ -130,6 +142,7 @@
               HOST_LIST_TIMEOUT,
               AGENTS,
               PING,
+              IDLE_PING,
               DEAD,
               CONNECT_TIMEOUT,
               FIRST_REDIAL,
--- a/proofs/src/test/java/org/oriolewell/proofs/CallFailureTest.java
+++ b/proofs/src/test/java/org/oriolewell/proofs/CallFailureTest.java
@@ -12,7 +12,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -22,13 +24,11 @@
 class CallFailureTest {
   private static final int SERVICES = 3;
   private static final int CALLERS = 8;
-  private static final int CALLS_EACH = 25;
-
-  /** Each call in an outage takes its whole deadline, so a few suffice. */
-  private static final int CALLS_IN_OUTAGE = 1;
+  private static final Duration PAUSE = Duration.ofMillis(15);
 
   private final Map<String, List<String>> outcomes = new ConcurrentHashMap<>();
   private final AtomicInteger numbers = new AtomicInteger();
+  private final AtomicBoolean ending = new AtomicBoolean();
 
   /** Guards against a second run when a caller repeats a permit at the other entry. */
   @Test
@@ -49,10 +49,11 @@
   @Test
   void killedAgentLeavesNoPermitRunTwice() throws Exception {
     try (Site site = Site.start("killed-agent", SERVICES)) {
-      CompletableFuture<Void> load = startLoad(site, CALLS_EACH);
-      awaitAnswers(20);
-      site.serviceAgents.get(0).kill();
-      load.get();
+      CompletableFuture<Void> load = startLoad(site);
+      Fleet.Member owner = awaitOwner(site);
+      owner.kill();
+      awaitTakeover(site, owner);
+      endLoad(load);
 
       assertLedgers(site);
     }
@@ -62,12 +63,13 @@
   @Test
   void frozenAgentThatReturnsRunsNothingTwice() throws Exception {
     try (Site site = Site.start("frozen-agent", SERVICES)) {
-      CompletableFuture<Void> load = startLoad(site, CALLS_EACH);
-      awaitAnswers(20);
-      site.serviceAgents.get(0).freeze();
-      awaitAnswers(60);
-      site.serviceAgents.get(0).resume();
-      load.get();
+      CompletableFuture<Void> load = startLoad(site);
+      Fleet.Member owner = awaitOwner(site);
+      owner.freeze();
+      awaitTakeover(site, owner);
+      owner.resume();
+      awaitAnswers(outcomes.size() + 100);
+      endLoad(load);
 
       assertLedgers(site);
     }
@@ -77,11 +79,14 @@
   @Test
   void lostStoreAnswersAndKilledAgentRunNothingTwice() throws Exception {
     try (Site site = Site.start("lost-answers", SERVICES)) {
+      CompletableFuture<Void> load = startLoad(site);
+      Fleet.Member owner = awaitOwner(site);
       site.storeFaults("{\"drop_answer\": {\"value\": true, \"count\": 6}}");
-      CompletableFuture<Void> load = startLoad(site, CALLS_EACH);
-      awaitAnswers(20);
-      site.serviceAgents.get(1).kill();
-      load.get();
+      awaitAnswers(outcomes.size() + 50);
+      site.storeFaults("{\"drop_answer\": {\"value\": true, \"count\": 4}}");
+      owner.kill();
+      awaitTakeover(site, owner);
+      endLoad(load);
 
       assertLedgers(site);
     }
@@ -94,13 +99,13 @@
       assertThat(send(site, 0, newKey())).isEqualTo("answered");
       site.storeFaults("{\"outage\": true}");
 
-      CompletableFuture<Void> load = startLoad(site, CALLS_IN_OUTAGE);
+      CompletableFuture<Void> load = startLoad(site);
       HttpResponse<String> draft =
           site.request(
               0,
               "{\"pipeline\":\"survey-draft\",\"workspace\":\"inspectors\","
                   + "\"deadline_ms\":9000,\"input\":{\"line\":7}}");
-      load.get();
+      endLoad(load);
       assertThat(draft.statusCode()).as(draft.body()).isEqualTo(200);
       assertLedgers(site);
 
@@ -116,11 +121,13 @@
   @Test
   void plannedStopOfAnAgentCutsOffNothing() throws Exception {
     try (Site site = Site.start("planned-stop", SERVICES)) {
-      CompletableFuture<Void> load = startLoad(site, CALLS_EACH);
-      awaitAnswers(20);
-      assertThat(site.serviceAgents.get(2).stop(Duration.ofSeconds(30))).isTrue();
-      load.get();
+      CompletableFuture<Void> load = startLoad(site);
+      Fleet.Member owner = awaitOwner(site);
+      assertThat(owner.stop(Duration.ofSeconds(30))).isTrue();
+      awaitTakeover(site, owner);
+      endLoad(load);
 
+      assertThat(owner.logLines("SHARD_RELEASED")).isPositive();
       assertLedgers(site);
       assertThat(outcomes.values().stream().flatMap(List::stream))
           .as("outcomes of a planned stop")
@@ -128,20 +135,48 @@
     }
   }
 
-  private CompletableFuture<Void> startLoad(Site site, int callsEach) {
+  /** Returns an agent that owns a shard, once some permits were answered. */
+  private Fleet.Member awaitOwner(Site site) {
+    awaitAnswers(50);
+    return site.serviceAgents.stream()
+        .filter(agent -> agent.logLines("SHARD_TAKEN") > 0)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Waits until another agent has taken a shard over, and some permits more. */
+  private void awaitTakeover(Site site, Fleet.Member former) {
+    Fleet.await(
+        Duration.ofSeconds(30),
+        () ->
+            site.serviceAgents.stream()
+                .filter(agent -> agent != former)
+                .anyMatch(agent -> agent.logLines("SHARD_TAKEN", "\"epoch\":2") > 0),
+        "a takeover");
+    awaitAnswers(outcomes.size() + 50);
+  }
+
+  private void endLoad(CompletableFuture<Void> load) throws Exception {
+    ending.set(true);
+    load.get();
+  }
+
+  /** Sends permits from several callers until the load is ended. */
+  private CompletableFuture<Void> startLoad(Site site) {
     ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
     List<CompletableFuture<Void>> loads = new ArrayList<>();
     for (int i = 0; i < CALLERS; i++) {
       int entry = i % 2;
-      loads.add(CompletableFuture.runAsync(() -> sendMany(site, entry, callsEach), callers));
+      loads.add(CompletableFuture.runAsync(() -> sendMany(site, entry), callers));
     }
     callers.shutdown();
     return CompletableFuture.allOf(loads.toArray(CompletableFuture[]::new));
   }
 
   /** Sends permits; each that isn't answered is sent once more through the other entry. */
-  private void sendMany(Site site, int entry, int calls) {
-    for (int i = 0; i < calls; i++) {
+  private void sendMany(Site site, int entry) {
+    while (!ending.get()) {
+      LockSupport.parkNanos(PAUSE.toNanos());
       String key = newKey();
       if (!"answered".equals(trySend(site, entry, key))) {
         trySend(site, 1 - entry, key);
--- a/proofs/src/test/java/org/oriolewell/proofs/Fleet.java
+++ b/proofs/src/test/java/org/oriolewell/proofs/Fleet.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.oriolewell.agent.AgentMain;
 import org.oriolewell.entry.EntryMain;
 import org.oriolewell.standins.StandinMain;
@@ -78,6 +79,17 @@
       }
     }
 
+    /** Returns how many lines of the log contain all of the given texts. */
+    long logLines(String... texts) {
+      try {
+        return Files.readAllLines(log).stream()
+            .filter(line -> Stream.of(texts).allMatch(line::contains))
+            .count();
+      } catch (IOException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+
     /** Ends the process without notice. */
     void kill() throws InterruptedException {
       process.destroyForcibly().waitFor();
--- a/proofs/src/test/java/org/oriolewell/proofs/LogEventCatalogTest.java
+++ b/proofs/src/test/java/org/oriolewell/proofs/LogEventCatalogTest.java
@@ -66,7 +66,7 @@
 
   private static Stream<String> rows(Path file) {
     try {
-      return Files.readAllLines(file).stream().filter(line -> line.startsWith("| OW-"));
+      return Files.readAllLines(file).stream().filter(line -> line.matches("\\| OW-\\d{4} .*"));
     } catch (IOException e) {
       throw new IllegalStateException(e);
     }
