--- a/proofs/src/test/java/org/oriolewell/proofs/Site.java
+++ b/proofs/src/test/java/org/oriolewell/proofs/Site.java
@@ -1,6 +1,7 @@
 package org.oriolewell.proofs;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.hash.Hashing;
 import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -28,6 +29,8 @@
   final List<Fleet.Member> entries = new ArrayList<>();
   final List<Fleet.Member> stageAgents = new ArrayList<>();
 
+  private static final String TOKEN = "operators-token";
+
   private final String storeUrl;
   private final List<String> agentAddresses = new ArrayList<>();
   private int hosts;
@@ -109,10 +112,17 @@
             operators.port = 0
             store.url = "%s"
             agents.static = [%s]
+
+            [[admin.tokens]]
+            operator = "elin"
+            rights = "change"
+            workspaces = ["*"]
+            token_sha256 = "%s"
             """,
             name,
             storeUrl,
-            String.join(", ", agentAddresses.stream().map(a -> '"' + a + '"').toList())));
+            String.join(", ", agentAddresses.stream().map(a -> '"' + a + '"').toList()),
+            Hashing.sha256().hashString(TOKEN, StandardCharsets.UTF_8)));
   }
 
   private void writeConfiguration(int serviceCount) throws Exception {
@@ -175,6 +185,19 @@
         "application/json");
   }
 
+  /** Calls the admin API of an entry. */
+  HttpResponse<String> admin(int entry, String method, String path, String body)
+      throws Exception {
+    return Fleet.http(
+        method,
+        "http://" + entries.get(entry).address("operators") + "/v1/admin/" + path,
+        body,
+        "Authorization",
+        "Bearer " + TOKEN,
+        "Content-Type",
+        "application/json");
+  }
+
   /** Returns a permit recording with an idempotency key. */
   static String permit(String key) {
     return "{\"pipeline\":\"record-permit\",\"workspace\":\"inspectors\",\"deadline_ms\":8000,"
