Keep log handlers until the process ends

Cause: the JDK removes all log handlers in a shutdown hook, so the lines of a planned stop were lost; CallFailureTest.plannedStopOfAnAgentCutsOffNothing found no SHARD_RELEASED line although the next owner logged 'the shard was released'. Change: a log manager that ignores the reset once the output is installed.

--- a/runtime/src/main/java/org/oriolewell/runtime/log/LogOutput.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/log/LogOutput.java
@@ -28,5 +28,6 @@
     root.addHandler(handler);
     root.setLevel(level);
     Logger.getLogger("org.eclipse.jetty").setLevel(Level.WARNING);
+    ShutdownLogManager.keepHandlers();
   }
 }
--- a/runtime/src/main/java/org/oriolewell/runtime/program/Program.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/program/Program.java
@@ -10,6 +10,7 @@
 import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.ParserProperties;
 import org.oriolewell.runtime.log.LogOutput;
+import org.oriolewell.runtime.log.ShutdownLogManager;
 import org.oriolewell.runtime.settings.Settings;
 import org.oriolewell.runtime.settings.SettingsException;
 import org.oriolewell.runtime.settings.SettingsSpec;
@@ -20,6 +21,10 @@
  * <p>Example: {@code Program.of("oriolewell-entry", EntrySettings.SPEC, Entry::start).main(args)}.
  */
 public final class Program {
+  static {
+    ShutdownLogManager.select();
+  }
+
   /** Starts the program's work. */
   @FunctionalInterface
   public interface Starter {
