--- a/proofs/src/test/java/org/oriolewell/proofs/OperatorTest.java
+++ b/proofs/src/test/java/org/oriolewell/proofs/OperatorTest.java
@@ -82,8 +82,7 @@
         .isEqualTo("accepted");
     site.storeFaults("{\"outage\": {\"value\": true, \"duration_ms\": 2000}}");
     Fleet.Member drained = site.serviceAgents.get(0);
-    Fleet.await(
-        IN_FORCE, () -> drained.logLines("DRAIN") > 0, "the drain of host-5 in its agent");
+    Fleet.await(IN_FORCE, () -> drained.logLines("DRAIN") > 0, "the drain of host-5 in its agent");
     Fleet.await(Duration.ofSeconds(10), () -> permitIsAnswered(), "a permit elsewhere");
 
     int before = runs(0);
--- a/proofs/src/test/java/org/oriolewell/proofs/Site.java
+++ b/proofs/src/test/java/org/oriolewell/proofs/Site.java
@@ -186,8 +186,7 @@
   }
 
   /** Calls the admin API of an entry. */
-  HttpResponse<String> admin(int entry, String method, String path, String body)
-      throws Exception {
+  HttpResponse<String> admin(int entry, String method, String path, String body) throws Exception {
     return Fleet.http(
         method,
         "http://" + entries.get(entry).address("operators") + "/v1/admin/" + path,
--- a/runtime/src/main/java/org/oriolewell/runtime/log/LogOutput.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/log/LogOutput.java
@@ -10,8 +10,21 @@
 
 /** Directs all log lines to the standard error stream, one line each without decoration. */
 public final class LogOutput {
+  private static final String MANAGER_PROPERTY = "java.util.logging.manager";
+
   private LogOutput() {}
 
+  /**
+   * Makes {@link ShutdownLogManager} the process's log manager. It must be called before anything
+   * uses {@link LogManager}, which reads the choice when it is initialized; for that reason the
+   * method can't be in the manager itself.
+   */
+  public static void selectManager() {
+    if (System.getProperty(MANAGER_PROPERTY) == null) {
+      System.setProperty(MANAGER_PROPERTY, ShutdownLogManager.class.getName());
+    }
+  }
+
   /** Installs the output for the whole process. */
   public static void install(Level level) {
     LogManager.getLogManager().reset();
--- a/runtime/src/main/java/org/oriolewell/runtime/program/Program.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/program/Program.java
@@ -10,7 +10,6 @@
 import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.ParserProperties;
 import org.oriolewell.runtime.log.LogOutput;
-import org.oriolewell.runtime.log.ShutdownLogManager;
 import org.oriolewell.runtime.settings.Settings;
 import org.oriolewell.runtime.settings.SettingsException;
 import org.oriolewell.runtime.settings.SettingsSpec;
@@ -22,7 +21,7 @@
  */
 public final class Program {
   static {
-    ShutdownLogManager.select();
+    LogOutput.selectManager();
   }
 
   /** Starts the program's work. */
