--- a/core/src/main/java/org/oriolewell/core/call/ShardOwner.java
+++ b/core/src/main/java/org/oriolewell/core/call/ShardOwner.java
@@ -34,10 +34,6 @@
   /** Bounds the writes that calls outside the window cause, to 40 a second. */
   private static final long MIN_WRITE_GAP_MILLIS = 25;
 
-  private static final int EPOCH_NAMES = 16;
-  private static final int SEGMENT_NAMES = 256;
-
-  private final String shard;
   private final String process;
   private final String writePrefix;
   private final String address;
@@ -45,7 +41,7 @@
   private final CallTable table = new CallTable();
   private final Map<Long, CallId> unsettled = new HashMap<>();
   private final Map<Long, CallId> settling = new HashMap<>();
-  private final List<Segment.Reference> segments = new ArrayList<>();
+  private final SegmentList segments;
 
   private String state = CHART.initial();
   private long revision;
@@ -57,12 +53,10 @@
   private long retryAtMillis;
   private long lastWriteMillis;
   private boolean changed;
-  private @Nullable Segment pendingSegment;
-  private String pendingSegmentName = "";
   private List<ShardAction> actions = new ArrayList<>();
 
   private ShardOwner(String shard, String process, String address, ShardSettings settings) {
-    this.shard = shard;
+    segments = new SegmentList(shard, table);
     this.process = process;
     this.writePrefix = process + "/" + INSTANCES.incrementAndGet() + "/";
     this.address = address;
@@ -111,9 +105,9 @@
     } else if (event instanceof ShardEvent.WriteUnanswered write) {
       writeUnanswered(write, millis);
     } else if (event instanceof ShardEvent.SegmentWritten segment) {
-      segmentWritten(segment);
+      segments.written(segment.writeId());
     } else if (event instanceof ShardEvent.SegmentFailed) {
-      pendingSegment = null;
+      segments.failed();
     } else {
       onCallEvent(event, millis);
     }
@@ -189,26 +183,11 @@
         ambiguous.add(old.window());
       }
       old.calls().forEach((id, call) -> table.record(id, afterTakeover(call)));
-      adoptSegments(old, read.segments(), ambiguous);
+      ambiguous.addAll(segments.adopt(old, read.segments()));
     }
     write(record(epoch, process, window(now, lowWater), ambiguous, lowWater));
   }
 
-  /** Loads segments; one that is missing or was overwritten makes its key times ambiguous. */
-  private void adoptSegments(
-      ShardRecord old, Map<String, Segment> found, List<TimeRange> ambiguous) {
-    for (Segment.Reference reference : old.segments()) {
-      Segment segment = found.get(reference.name());
-      if (segment == null || !segment.writeId().equals(reference.writeId())) {
-        ambiguous.add(reference.range());
-        continue;
-      }
-      segments.add(reference);
-      segment.calls().forEach(table::record);
-      table.markSegmented(segment.calls().keySet());
-    }
-  }
-
   private static CallRecord afterTakeover(CallRecord call) {
     return call.state() == CallRecord.State.STARTED ? call.in(CallRecord.State.UNKNOWN) : call;
   }
@@ -254,7 +233,7 @@
     lastWriteMillis = now;
     state = CHART.next(state, released ? "release_acknowledged" : "write_acknowledged");
     table.trim(record.lowWaterMillis());
-    segments.removeIf(reference -> reference.range().until() < record.lowWaterMillis());
+    segments.trim(record.lowWaterMillis());
     settling.forEach(
         (question, id) ->
             actions.add(new ShardAction.Settled(question, Verdict.SETTLED_NOT_RUN, null)));
@@ -277,7 +256,6 @@
     proposed = null;
     unanswered = false;
     verifying = false;
-    pendingSegment = null;
     segments.clear();
     table.forgetAll();
     refusePending(Verdict.NOT_OWNER);
@@ -357,7 +335,7 @@
         window,
         ambiguous.stream().filter(range -> range.until() >= lowWater).distinct().toList(),
         lowWater,
-        segments.stream().filter(reference -> reference.range().until() >= lowWater).toList(),
+        segments.references(lowWater),
         table.unsegmented(settings.maxOutputBytes()));
   }
 
@@ -596,44 +574,12 @@
 
   private void splitSegment() {
     ShardRecord record = acknowledged;
-    if (record == null || pendingSegment != null) {
+    if (record == null || segments.isWriting()) {
       return;
     }
     Map<CallId, CallRecord> finished = table.finishedUnsegmented(settings.maxOutputBytes());
-    if (finished.size() < settings.segmentCalls()) {
-      return;
-    }
-    freeSegmentName(record.epoch())
-        .ifPresent(
-            name -> {
-              Segment segment = new Segment(writePrefix + ++writes, finished);
-              pendingSegment = segment;
-              pendingSegmentName = name;
-              actions.add(new ShardAction.WriteSegment(name, segment));
-            });
-  }
-
-  private Optional<String> freeSegmentName(long epoch) {
-    for (int i = 0; i < SEGMENT_NAMES; i++) {
-      String name = shard + "/" + epoch % EPOCH_NAMES + "-" + i;
-      if (segments.stream().noneMatch(reference -> reference.name().equals(name))) {
-        return Optional.of(name);
-      }
-    }
-    return Optional.empty();
-  }
-
-  private void segmentWritten(ShardEvent.SegmentWritten written) {
-    Segment segment = pendingSegment;
-    if (segment == null || !segment.writeId().equals(written.writeId())) {
-      return;
-    }
-    pendingSegment = null;
-    TimeRange range = TimeRange.EMPTY;
-    for (CallRecord call : segment.calls().values()) {
-      range = range.including(call.keyMillis());
+    if (finished.size() >= settings.segmentCalls()) {
+      segments.start(record.epoch(), writePrefix + ++writes, finished).ifPresent(actions::add);
     }
-    segments.add(new Segment.Reference(pendingSegmentName, segment.writeId(), range));
-    table.markSegmented(segment.calls().keySet());
   }
 }
