--- a/proofs/src/test/java/org/oriolewell/proofs/CallFailureTest.java
+++ b/proofs/src/test/java/org/oriolewell/proofs/CallFailureTest.java
@@ -49,7 +49,7 @@
   @Test
   void killedAgentLeavesNoPermitRunTwice() throws Exception {
     try (Site site = Site.start("killed-agent", SERVICES)) {
-      CompletableFuture<Void> load = startLoad(site);
+      final CompletableFuture<Void> load = startLoad(site);
       Fleet.Member owner = awaitOwner(site);
       owner.kill();
       awaitTakeover(site, owner);
@@ -63,7 +63,7 @@
   @Test
   void frozenAgentThatReturnsRunsNothingTwice() throws Exception {
     try (Site site = Site.start("frozen-agent", SERVICES)) {
-      CompletableFuture<Void> load = startLoad(site);
+      final CompletableFuture<Void> load = startLoad(site);
       Fleet.Member owner = awaitOwner(site);
       owner.freeze();
       awaitTakeover(site, owner);
@@ -79,7 +79,7 @@
   @Test
   void lostStoreAnswersAndKilledAgentRunNothingTwice() throws Exception {
     try (Site site = Site.start("lost-answers", SERVICES)) {
-      CompletableFuture<Void> load = startLoad(site);
+      final CompletableFuture<Void> load = startLoad(site);
       Fleet.Member owner = awaitOwner(site);
       site.storeFaults("{\"drop_answer\": {\"value\": true, \"count\": 6}}");
       awaitAnswers(outcomes.size() + 50);
@@ -99,7 +99,7 @@
       assertThat(send(site, 0, newKey())).isEqualTo("answered");
       site.storeFaults("{\"outage\": true}");
 
-      CompletableFuture<Void> load = startLoad(site);
+      final CompletableFuture<Void> load = startLoad(site);
       HttpResponse<String> draft =
           site.request(
               0,
@@ -121,7 +121,7 @@
   @Test
   void plannedStopOfAnAgentCutsOffNothing() throws Exception {
     try (Site site = Site.start("planned-stop", SERVICES)) {
-      CompletableFuture<Void> load = startLoad(site);
+      final CompletableFuture<Void> load = startLoad(site);
       Fleet.Member owner = awaitOwner(site);
       assertThat(owner.stop(Duration.ofSeconds(30))).isTrue();
       awaitTakeover(site, owner);
