--- a/proofs/src/test/java/org/oriolewell/proofs/CallFailureTest.java
+++ b/proofs/src/test/java/org/oriolewell/proofs/CallFailureTest.java
@@ -50,7 +50,7 @@
   void killedAgentLeavesNoPermitRunTwice() throws Exception {
     try (Site site = Site.start("killed-agent", SERVICES)) {
       final CompletableFuture<Void> load = startLoad(site);
-      Fleet.Member owner = awaitOwner(site);
+      final Fleet.Member owner = awaitOwner(site);
       owner.kill();
       awaitTakeover(site, owner);
       endLoad(load);
@@ -64,7 +64,7 @@
   void frozenAgentThatReturnsRunsNothingTwice() throws Exception {
     try (Site site = Site.start("frozen-agent", SERVICES)) {
       final CompletableFuture<Void> load = startLoad(site);
-      Fleet.Member owner = awaitOwner(site);
+      final Fleet.Member owner = awaitOwner(site);
       owner.freeze();
       awaitTakeover(site, owner);
       owner.resume();
@@ -80,7 +80,7 @@
   void lostStoreAnswersAndKilledAgentRunNothingTwice() throws Exception {
     try (Site site = Site.start("lost-answers", SERVICES)) {
       final CompletableFuture<Void> load = startLoad(site);
-      Fleet.Member owner = awaitOwner(site);
+      final Fleet.Member owner = awaitOwner(site);
       site.storeFaults("{\"drop_answer\": {\"value\": true, \"count\": 6}}");
       awaitAnswers(outcomes.size() + 50);
       site.storeFaults("{\"drop_answer\": {\"value\": true, \"count\": 4}}");
@@ -122,7 +122,7 @@
   void plannedStopOfAnAgentCutsOffNothing() throws Exception {
     try (Site site = Site.start("planned-stop", SERVICES)) {
       final CompletableFuture<Void> load = startLoad(site);
-      Fleet.Member owner = awaitOwner(site);
+      final Fleet.Member owner = awaitOwner(site);
       assertThat(owner.stop(Duration.ofSeconds(30))).isTrue();
       awaitTakeover(site, owner);
       endLoad(load);
