Begin a stage as a whole and expect what its results' space costs

Cause: in bursts calls took 3.6 of 7 pieces while 139 waited, since the results of half-done requests filled their makers' space; admission did not see it and accepted everything; a leaf stage waited for another one that ran already.

--- a/core/src/main/java/org/oriolewell/core/overload/StageAdmission.java
+++ b/core/src/main/java/org/oriolewell/core/overload/StageAdmission.java
@@ -69,11 +69,6 @@
         bestCost = cost;
       }
     }
-    for (Estimate estimate : estimates) {
-      if (estimate.own() && estimate.millis() <= targetMillis) {
-        best = estimate;
-      }
-    }
     if (best != null && best.millis() <= targetMillis) {
       return new Decision.Accept(best.region(), best.millis());
     }
--- a/core/src/main/java/org/oriolewell/core/stage/StageLoad.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageLoad.java
@@ -38,9 +38,7 @@
     }
     double ahead = 0;
     for (Queued waiting : queued) {
-      if (waiting.rank() <= rank) {
-        ahead += waiting.calls();
-      }
+      ahead += waiting.calls();
     }
     return residualMillis + Math.floor(ahead / upstreams) * callMillis + callMillis;
   }
--- a/core/src/main/java/org/oriolewell/core/stage/StageProgress.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageProgress.java
@@ -30,6 +30,7 @@
   private final State[] states;
   private final String[][] handles;
   private final int[] missing;
+  private final long[] startedAt;
   private final Map<String, String> services = new HashMap<>();
 
   private StageProgress(List<StageSpec> stages, int[] pieces) {
@@ -38,6 +39,7 @@
     this.states = new State[stages.size()];
     this.handles = new String[stages.size()][];
     this.missing = new int[stages.size()];
+    this.startedAt = new long[stages.size()];
     for (int i = 0; i < stages.size(); i++) {
       handles[i] = new String[this.pieces[i]];
       missing[i] = this.pieces[i];
@@ -64,18 +66,26 @@
     return new StageProgress(stages, pieces);
   }
 
-  /** Returns the stages to start now, and counts them as running. */
-  public List<StageSpec> start(IntToDoubleFunction expectedMillis) {
+  /**
+   * Returns the stages to start now, and counts them as running.
+   *
+   * @param expectedMillis expected time of each stage
+   * @param now monotonic time in nanoseconds
+   */
+  public List<StageSpec> start(IntToDoubleFunction expectedMillis, long now) {
     List<StageSpec> started = new ArrayList<>();
     for (StageSpec stage : stages) {
       if (states[stage.index()] == State.WAITING && inputsDone(stage)) {
         double own = expectedMillis.applyAsDouble(stage.index());
-        if (hasReader(stage.index()) || longestOther(stage.index(), expectedMillis) <= own) {
+        if (hasReader(stage.index()) || longestOther(stage.index(), expectedMillis, now) <= own) {
           started.add(stage);
         }
       }
     }
-    started.forEach(stage -> states[stage.index()] = State.RUNNING);
+    for (StageSpec stage : started) {
+      states[stage.index()] = State.RUNNING;
+      startedAt[stage.index()] = now;
+    }
     return started;
   }
 
@@ -88,16 +98,29 @@
         .anyMatch(stage -> stage.after().contains(index) && pieces[stage.index()] > 0);
   }
 
-  private double longestOther(int index, IntToDoubleFunction expectedMillis) {
+  private double longestOther(int index, IntToDoubleFunction expectedMillis, long now) {
+    IntToDoubleFunction left =
+        stage -> {
+          double elapsed = states[stage] == State.RUNNING ? (now - startedAt[stage]) / 1e6 : 0;
+          return Math.max(0, expectedMillis.applyAsDouble(stage) - elapsed);
+        };
     double longest = 0;
     for (StageSpec stage : stages) {
-      if (stage.index() != index && stage.after().stream().noneMatch(a -> a == index)) {
-        longest = Math.max(longest, remaining(stage.index(), expectedMillis));
+      boolean unstartedChain = stage.index() != index && unstarted(stage.index());
+      if (unstartedChain) {
+        longest = Math.max(longest, remaining(stage.index(), left));
       }
     }
     return longest;
   }
 
+  /** Returns whether a stage, or one that reads its results, waits to be started. */
+  private boolean unstarted(int index) {
+    return states[index] == State.WAITING
+        || stages.stream()
+            .anyMatch(stage -> stage.after().contains(index) && unstarted(stage.index()));
+  }
+
   /** Returns the expected time until a stage and what reads it are done. */
   private double remaining(int index, IntToDoubleFunction expectedMillis) {
     if (states[index] == State.DONE) {
--- a/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
@@ -23,7 +23,7 @@
  * <p>Load pattern: a call costs a large fixed time besides its pieces, so one call a request
  * overloads the upstreams before the first burst. The queue gathers the pieces of all requests and
  * processes of the region and fills a call whenever an upstream is free. Under a burst the order is
- * what can still be on time, then rank, then the latest start. Results occupy scarce space at their
+ * what was begun, then what can still be on time, then rank, then the latest start. Results occupy scarce space at their
  * maker until they are freed, so a call takes only what fits.
  *
  * <p>A piece may be produced twice. A call that takes much longer than expected is therefore
@@ -51,12 +51,19 @@
   /** Pause after a refusal for lack of space, about the time in which results are read. */
   private static final Duration SPACE_PAUSE = Duration.ofMillis(150);
 
+  /** Time for which a result is kept, before any was freed: an engine's time to its first token. */
+  private static final Duration FIRST_HOLD = Duration.ofMillis(200);
+
+  /** Weight of a new observation of that time; about the last twenty results count. */
+  private static final double HOLD_WEIGHT = 0.05;
+
   private final StageService service;
   private final String serviceName;
   private final Map<String, Server> servers = new LinkedHashMap<>();
   private final Map<WorkId, Group> groups = new LinkedHashMap<>();
   private final Map<Long, Call> calls = new HashMap<>();
   private long nextCall = 1;
+  private double holdNanos = FIRST_HOLD.toNanos();
 
   /** Identifies work across the processes that hand it over. */
   private record WorkId(String origin, long ticket) {
@@ -92,6 +99,7 @@
     private final List<Integer> waiting;
     private final Set<Integer> open;
     private final Map<Integer, Integer> tries = new HashMap<>();
+    private boolean begun;
 
     private Group(StageWork work) {
       this.work = work;
@@ -138,7 +146,7 @@
     }
   }
 
-  private record Result(long bytes, long expiresAt) {}
+  private record Result(long bytes, long madeAt, long expiresAt) {}
 
   private StageQueue(String serviceName, StageService service) {
     this.serviceName = serviceName;
@@ -181,9 +189,16 @@
   }
 
   /** Records that results were freed at their makers. */
-  public void freed(Collection<String> handles) {
+  public void freed(Collection<String> handles, long now) {
     for (Server server : servers.values()) {
-      handles.forEach(handle -> forget(server, handle));
+      for (String handle : handles) {
+        Result result = server.results.get(handle);
+        if (result != null) {
+          double held = now - result.madeAt();
+          holdNanos += (held - holdNanos) * HOLD_WEIGHT;
+          forget(server, handle);
+        }
+      }
     }
   }
 
@@ -219,18 +234,18 @@
     long space = service.resultSpaceBytes() - server.resultBytes - server.reservedBytes;
     long reserved = 0;
     for (Group group : ordered(now)) {
-      long bytes = group.work.resultBytes();
-      Iterator<Integer> waiting = group.waiting.iterator();
-      while (waiting.hasNext() && items.size() < service.batch() && reserved + bytes <= space) {
-        int piece = waiting.next();
-        waiting.remove();
+      int places = service.batch() - items.size();
+      if (places == 0) {
+        break;
+      }
+      int count = piecesToTake(group, places, space - reserved);
+      for (int i = 0; i < count; i++) {
+        int piece = group.waiting.remove(0);
         group.tries.merge(piece, 1, Integer::sum);
         items.add(new StageCall.Item(group.work, piece));
-        reserved += bytes;
-      }
-      if (items.size() >= service.batch()) {
-        break;
       }
+      group.begun |= count > 0;
+      reserved += count * group.work.resultBytes();
     }
     if (items.isEmpty()) {
       return null;
@@ -243,11 +258,27 @@
     return call;
   }
 
+  /**
+   * Returns how many pieces of a group go into a call. The results of a request that is only partly
+   * done occupy space and serve nobody, so a group is begun only if it fits as a whole, or if it
+   * never would.
+   */
+  private int piecesToTake(Group group, int places, long space) {
+    long bytes = Math.max(1, group.work.resultBytes());
+    int fitting = (int) Math.min(Math.min(places, space / bytes), group.waiting.size());
+    boolean whole = fitting == group.waiting.size();
+    boolean oversized =
+        group.waiting.size() > service.batch()
+            || group.waiting.size() * bytes > service.resultSpaceBytes();
+    return whole || group.begun || oversized ? Math.max(0, fitting) : 0;
+  }
+
   private List<Group> ordered(long now) {
     List<Group> order = new ArrayList<>();
     groups.values().stream().filter(group -> !group.waiting.isEmpty()).forEach(order::add);
     order.sort(
-        Comparator.comparing((Group group) -> group.work.latestStart() < now)
+        Comparator.comparing((Group group) -> !group.begun)
+            .thenComparing((Group group) -> group.work.latestStart() < now)
             .thenComparingInt(group -> group.work.rank())
             .thenComparingLong(group -> group.work.latestStart()));
     return order;
@@ -306,7 +337,7 @@
   }
 
   private void keep(Server server, String handle, long bytes, long now) {
-    server.results.put(handle, new Result(bytes, now + service.resultLifetime().toNanos()));
+    server.results.put(handle, new Result(bytes, now, now + service.resultLifetime().toNanos()));
     server.resultBytes += bytes;
   }
 
@@ -470,9 +501,21 @@
     return earliest == Long.MAX_VALUE ? 0 : earliest;
   }
 
+  /**
+   * Returns the part of a full call that a piece takes: its place, or the space of its result for
+   * the time that it is kept, whichever is scarcer.
+   */
   private double shareOfCall(long resultBytes) {
-    return Math.max(
-        1.0 / service.batch(), resultBytes / (double) Math.max(1, service.resultSpaceBytes()));
+    double callNanos = service.callTime(service.batch()).toNanos();
+    double keptCalls = (holdNanos + callNanos) / callNanos;
+    double space = resultBytes / (double) Math.max(1, service.resultSpaceBytes());
+    return Math.max(1.0 / service.batch(), space * keptCalls);
+  }
+
+  /** Returns the bytes of the results that an upstream keeps, as far as this queue knows. */
+  public long keptBytes(String upstreamId) {
+    Server server = servers.get(upstreamId);
+    return server == null ? 0 : server.resultBytes;
   }
 
   /** Returns the number of pieces that wait. */
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.oriolewell.core.overload.FirstByteTimes;
 import org.oriolewell.core.placement.Placement;
 import org.oriolewell.core.placement.UpstreamHealth;
 import org.oriolewell.core.retry.RetryBudget;
@@ -96,6 +97,7 @@
             regions,
             health,
             Placement.of(health, new SplittableRandom(self.name().hashCode())),
+            FirstByteTimes.create(),
             RetryBudget.create(budget(settings)),
             metrics,
             log);
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -70,6 +70,8 @@
   private @Nullable AnswerStream stream;
   private int sends;
   private int openFailures;
+  private long firstByteMillis = -1;
+  private long sentAt;
   private boolean sentOnce;
   private boolean ended;
   private final List<EventLoop.Timer> timers = new ArrayList<>();
@@ -132,7 +134,7 @@
                       services
                           .desk()
                           .expectedMillis(route.stages().get(stage).service(), candidate, rank))
-              + StageRun.ENGINE_MILLIS;
+              + services.firstByteTimes().expectedMillis(route.name());
       boolean engines =
           services.control().roster().usable(service).stream()
               .anyMatch(engine -> services.regions().of(engine.zone()).equals(candidate));
@@ -294,6 +296,7 @@
     UpstreamAttempt started =
         new UpstreamAttempt(services, route, requestId(), upstream, stream, this);
     attempt = started;
+    sentAt = now;
     started.start(request, patience());
   }
 
@@ -309,8 +312,10 @@
 
   @Override
   public void onFirstByte() {
-    double seconds = Services.millis(startedAt, services.loop().now()) / 1000.0;
-    services.metrics().firstByte(route.name(), seconds);
+    long now = services.loop().now();
+    firstByteMillis = Services.millis(startedAt, now);
+    services.firstByteTimes().observed(route.name(), Services.millis(sentAt, now));
+    services.metrics().firstByte(route.name(), firstByteMillis / 1000.0);
     releaseStages();
   }
 
@@ -453,6 +458,7 @@
         .with("reason", reason)
         .with("status", status)
         .with("attempts", sends)
+        .with("first_byte_ms", firstByteMillis < 0 ? null : firstByteMillis)
         .with("ms", Services.millis(startedAt, services.loop().now()))
         .write();
   }
--- a/gateway/src/main/java/org/oriolewell/gateway/Services.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Services.java
@@ -1,6 +1,7 @@
 package org.oriolewell.gateway;
 
 import java.time.Duration;
+import org.oriolewell.core.overload.FirstByteTimes;
 import org.oriolewell.core.placement.Placement;
 import org.oriolewell.core.placement.UpstreamHealth;
 import org.oriolewell.core.retry.RetryBudget;
@@ -18,6 +19,7 @@
  * @param regions regions of the zones
  * @param health observations of upstreams
  * @param placement choice of upstreams
+ * @param firstByteTimes observed times of upstreams
  * @param budget second attempts
  * @param metrics counters
  * @param log decisions
@@ -31,6 +33,7 @@
     Regions regions,
     UpstreamHealth health,
     Placement placement,
+    FirstByteTimes firstByteTimes,
     RetryBudget budget,
     GatewayMetrics metrics,
     EventLog log) {
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -28,7 +28,7 @@
  */
 final class StageDispatcher {
   /** Time in which handles to free are gathered into one call. */
-  private static final Duration RELEASE_DELAY = Duration.ofMillis(20);
+  private static final Duration RELEASE_DELAY = Duration.ofMillis(5);
 
   /** Longest time of a call that frees results. */
   private static final Duration RELEASE_TIMEOUT = Duration.ofMillis(1000);
@@ -121,6 +121,7 @@
         .with("call", call.id())
         .with("upstream", call.upstream().id())
         .with("pieces", call.items().size())
+        .with("kept_bytes", queue.keptBytes(call.upstream().id()))
         .with("requests", call.items().stream().map(i -> i.work().requestId()).distinct().toList())
         .with("waiting", queue.waitingPieces())
         .write();
@@ -255,7 +256,7 @@
               @Override
               public void onComplete() {
                 ended[0] = true;
-                queue.freed(handles);
+                queue.freed(handles, loop.now());
                 pump();
               }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
@@ -13,9 +13,6 @@
 
 /** Runs the stages of one request in one region. Used on the event loop only. */
 final class StageRun {
-  /** Time after the stages until an engine's first event, when the engine is not overloaded. */
-  static final double ENGINE_MILLIS = 160;
-
   /** Receives the end of the stages; called once at most. */
   interface Listener {
     /** Called when all stages are done. */
@@ -75,14 +72,16 @@
       listener.onDone(progress.requestInputs());
       return;
     }
-    for (StageSpec stage : progress.start(this::expectedMillis)) {
+    for (StageSpec stage : progress.start(this::expectedMillis, services.loop().now())) {
       submit(stage);
     }
   }
 
   private void submit(StageSpec stage) {
     long now = services.loop().now();
-    double after = progress.remainingAfter(stage.index(), this::expectedMillis) + ENGINE_MILLIS;
+    double after =
+        progress.remainingAfter(stage.index(), this::expectedMillis)
+            + services.firstByteTimes().expectedMillis(route.name());
     long afterNanos = Duration.ofMillis((long) Math.min(after, 60_000)).toNanos();
     long callNanos =
         Duration.ofMillis((long) Math.min(expectedMillis(stage.index()), 300)).toNanos();
