--- a/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
@@ -48,6 +48,12 @@
   /** Longest pause of an upstream that fails; its recovery is noticed within this time. */
   private static final Duration MAX_PAUSE = Duration.ofMillis(3200);
 
+  /**
+   * Wait for an upstream in the reader's zone before any other is taken. Results that cross zones
+   * are paid for; the wait is short against the fixed time of a call.
+   */
+  private static final Duration ZONE_PATIENCE = Duration.ofMillis(60);
+
   /** Pause after a refusal for lack of space, about the time in which results are read. */
   private static final Duration SPACE_PAUSE = Duration.ofMillis(150);
 
@@ -99,10 +105,12 @@
     private final List<Integer> waiting;
     private final Set<Integer> open;
     private final Map<Integer, Integer> tries = new HashMap<>();
+    private final long addedAt;
     private boolean begun;
 
-    private Group(StageWork work) {
+    private Group(StageWork work, long addedAt) {
       this.work = work;
+      this.addedAt = addedAt;
       this.waiting = new ArrayList<>(work.pieces());
       this.open = new HashSet<>(work.pieces());
     }
@@ -174,8 +182,8 @@
   }
 
   /** Adds work. Work that was added before is ignored. */
-  public void add(StageWork work) {
-    groups.putIfAbsent(WorkId.of(work), new Group(work));
+  public void add(StageWork work, long now) {
+    groups.putIfAbsent(WorkId.of(work), new Group(work, now));
   }
 
   /** Withdraws work that nobody waits for; results that still arrive become unused. */
@@ -233,7 +241,7 @@
     List<StageCall.Item> items = new ArrayList<>();
     long space = service.resultSpaceBytes() - server.resultBytes - server.reservedBytes;
     long reserved = 0;
-    for (Group group : ordered(now)) {
+    for (Group group : ordered(server, now)) {
       int places = service.batch() - items.size();
       if (places == 0) {
         break;
@@ -258,6 +266,18 @@
     return call;
   }
 
+  /** Returns whether work may run here: in its reader's zone, or elsewhere after a short wait. */
+  private boolean mayRunAt(Server server, Group group, long now) {
+    return near(server, group)
+        || now - group.addedAt >= ZONE_PATIENCE.toNanos()
+        || servers.values().stream()
+            .noneMatch(other -> near(other, group) && now >= other.pausedUntil);
+  }
+
+  private static boolean near(Server server, Group group) {
+    return group.work.zone().isEmpty() || group.work.zone().equals(server.instance.zone());
+  }
+
   /**
    * Returns how many pieces of a group go into a call. The results of a request that is only partly
    * done occupy space and serve nobody, so a group is begun only if it fits as a whole, or if it
@@ -273,12 +293,17 @@
     return whole || group.begun || oversized ? Math.max(0, fitting) : 0;
   }
 
-  private List<Group> ordered(long now) {
+  private List<Group> ordered(Server server, long now) {
     List<Group> order = new ArrayList<>();
-    groups.values().stream().filter(group -> !group.waiting.isEmpty()).forEach(order::add);
+    for (Group group : groups.values()) {
+      if (!group.waiting.isEmpty() && mayRunAt(server, group, now)) {
+        order.add(group);
+      }
+    }
     order.sort(
         Comparator.comparing((Group group) -> !group.begun)
             .thenComparing((Group group) -> group.work.latestStart() < now)
+            .thenComparing((Group group) -> !near(server, group))
             .thenComparingInt(group -> group.work.rank())
             .thenComparingLong(group -> group.work.latestStart()));
     return order;
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.overload.StageAdmission;
@@ -166,6 +167,7 @@
             requestId(),
             intent.pieceKey(),
             region,
+            chooseEngine(any -> true).map(UpstreamInstance::zone).orElse(""),
             rank,
             targetAt,
             giveUpAt,
@@ -231,16 +233,29 @@
     if (!engine) {
       return services.placement().leastLoaded(usable, this::distance, tried, now);
     }
+    String zone = zoneOfInputs();
+    return chooseEngine(upstream -> zone.isEmpty() || upstream.zone().equals(zone));
+  }
+
+  /** Returns the zone in which most of the results that the request reads are kept. */
+  private String zoneOfInputs() {
+    StageRun run = stages;
+    return run == null ? "" : run.zoneOfResults();
+  }
+
+  private Optional<UpstreamInstance> chooseEngine(Predicate<UpstreamInstance> preferred) {
+    long now = services.loop().now();
+    List<UpstreamInstance> usable = services.control().roster().usable(service);
     List<UpstreamInstance> near =
         usable.stream()
             .filter(upstream -> services.regions().of(upstream.zone()).equals(region))
             .toList();
     long affinity = intent.affinity() == 0 ? requestId().hashCode() : intent.affinity();
     Optional<UpstreamInstance> local =
-        services.placement().byAffinity(near, engineNear -> true, affinity, tried, now);
+        services.placement().byAffinity(near, preferred, affinity, tried, now);
     return local.isPresent()
         ? local
-        : services.placement().byAffinity(usable, any -> true, affinity, tried, now);
+        : services.placement().byAffinity(usable, preferred, affinity, tried, now);
   }
 
   private double distance(UpstreamInstance upstream) {
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
@@ -122,10 +122,13 @@
     return load == null ? UNKNOWN_LOAD_MILLIS : load.expectedMillis(rank);
   }
 
-  /** Returns whether a region has upstreams for a service. */
-  boolean served(String service, String region) {
+  /** Returns the zone of the upstream that keeps a result, if it is listed. */
+  Optional<String> zoneOf(String service, String handle) {
+    String address = dialect.makerAddress(handle);
     return control.roster().usable(service).stream()
-        .anyMatch(upstream -> regions.of(upstream.zone()).equals(region));
+        .filter(upstream -> upstream.address().equals(address))
+        .map(UpstreamInstance::zone)
+        .findFirst();
   }
 
   /**
@@ -144,6 +147,7 @@
             work.requestId(),
             work.stage(),
             work.service(),
+            work.zone(),
             work.rank(),
             work.latestStart(),
             work.deadline(),
@@ -175,6 +179,7 @@
             work.stage(),
             work.service(),
             ticket.region,
+            work.zone(),
             work.rank(),
             Duration.ofNanos(work.latestStart() - now).toMillis(),
             Duration.ofNanos(work.deadline() - now).toMillis(),
@@ -315,6 +320,7 @@
         submit.requestId(),
         submit.stage(),
         submit.service(),
+        submit.zone(),
         submit.rank(),
         now + Duration.ofMillis(submit.startMillis()).toNanos(),
         now + Duration.ofMillis(submit.remainingMillis()).toNanos(),
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -73,7 +73,7 @@
 
   /** Takes work. */
   void submit(StageWork work) {
-    queue.add(work);
+    queue.add(work, loop.now());
     pump();
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
@@ -27,6 +27,7 @@
   private final String requestId;
   private final String pieceKey;
   private final String region;
+  private final String zone;
   private final int rank;
   private final long targetAt;
   private final long giveUpAt;
@@ -41,6 +42,7 @@
       String requestId,
       String pieceKey,
       String region,
+      String zone,
       int rank,
       long targetAt,
       long giveUpAt,
@@ -51,6 +53,7 @@
     this.requestId = requestId;
     this.pieceKey = pieceKey;
     this.region = region;
+    this.zone = zone;
     this.rank = rank;
     this.targetAt = targetAt;
     this.giveUpAt = giveUpAt;
@@ -92,6 +95,7 @@
             requestId,
             stage.index(),
             stage.service(),
+            zone,
             rank,
             targetAt - afterNanos - callNanos,
             giveUpAt,
@@ -164,6 +168,23 @@
     }
   }
 
+  /** Returns the zone that keeps most bytes of the results that the request reads; may be empty. */
+  String zoneOfResults() {
+    Map<String, Long> bytesByZone = new HashMap<>();
+    progress
+        .requestInputBytes()
+        .forEach(
+            (handle, bytes) ->
+                services
+                    .desk()
+                    .zoneOf(progress.serviceOf(handle), handle)
+                    .ifPresent(maker -> bytesByZone.merge(maker, bytes, Long::sum)));
+    return bytesByZone.entrySet().stream()
+        .max(Map.Entry.comparingByValue())
+        .map(Map.Entry::getKey)
+        .orElse("");
+  }
+
   /** Withdraws what is in progress and frees all results. */
   void end() {
     ended = true;
--- a/runtime/src/main/java/org/oriolewell/runtime/wire/Message.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/wire/Message.java
@@ -209,6 +209,7 @@
    * @param stage index of the stage
    * @param service service that runs the stage
    * @param region region in which it is to run
+   * @param zone availability zone that is preferred; empty for none
    * @param rank urgency, the lowest first
    * @param startMillis time left in which the work has to begin to be on time; may be negative
    * @param remainingMillis time left until the results are useless
@@ -223,6 +224,7 @@
       int stage,
       String service,
       String region,
+      String zone,
       int rank,
       long startMillis,
       long remainingMillis,
--- a/runtime/src/main/java/org/oriolewell/runtime/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/wire/MessageCodec.java
@@ -144,8 +144,9 @@
 
   private static void writeStage(MessageBufferPacker out, Message message) throws IOException {
     if (message instanceof Message.StageSubmit m) {
-      header(out, 13, STAGE_SUBMIT).packLong(m.ticket()).packString(m.requestId());
-      out.packInt(m.stage()).packString(m.service()).packString(m.region()).packInt(m.rank());
+      header(out, 14, STAGE_SUBMIT).packLong(m.ticket()).packString(m.requestId());
+      out.packInt(m.stage()).packString(m.service()).packString(m.region()).packString(m.zone());
+      out.packInt(m.rank());
       out.packLong(m.startMillis()).packLong(m.remainingMillis()).packLong(m.resultBytes());
       writeInts(out, m.pieces());
       out.packString(m.key());
@@ -281,6 +282,7 @@
               in.unpackInt(),
               in.unpackString(),
               in.unpackString(),
+              in.unpackString(),
               in.unpackInt(),
               in.unpackLong(),
               in.unpackLong(),
--- a/runtime/src/test/java/org/oriolewell/runtime/wire/WireTest.java
+++ b/runtime/src/test/java/org/oriolewell/runtime/wire/WireTest.java
@@ -66,7 +66,7 @@
             new Message.ConfigRequest(16),
             new Message.Settle(17, "w", "p", 1, "o", "k"),
             new Message.StageSubmit(
-                18, "r", 1, "s", "g", 2, -3, 4, 5, List.of(0, 7), "", List.of("10.0.0.1:1/a")),
+                18, "r", 1, "s", "g", "z", 2, -3, 4, 5, List.of(0, 7), "", List.of("10.0.0.1:1/a")),
             new Message.StageResults(18, "s", List.of(0, 7), List.of(0, 1), List.of("h", "")),
             new Message.StageCancel(18, "s", "g"),
             new Message.StageRelease("s", "g", List.of("h")),
