Announce later stages to their dispatchers and give up hopeless work

Change: later stages are announced and counted; forecasts use the time at which a stage will be handed over; late work that was never begun ends after 1.5 s; calls of services with ample space may split a request.

--- a/core/src/main/java/org/oriolewell/core/stage/StageProgress.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageProgress.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.IntToDoubleFunction;
 import org.oriolewell.core.route.StageSpec;
 
 /**
@@ -20,6 +19,18 @@
  * <p>Not thread-safe.
  */
 public final class StageProgress {
+  /** Expected times of stages. */
+  @FunctionalInterface
+  public interface StageTimes {
+    /**
+     * Returns the expected time of a stage, from its hand-over to its results.
+     *
+     * @param stage index of the stage
+     * @param offsetMillis time from now until the stage is handed over
+     */
+    double expectedMillis(int stage, double offsetMillis);
+  }
+
   private enum State {
     WAITING,
     RUNNING,
@@ -70,15 +81,15 @@
   /**
    * Returns the stages to start now, and counts them as running.
    *
-   * @param expectedMillis expected time of each stage
+   * @param times expected time of each stage
    * @param now monotonic time in nanoseconds
    */
-  public List<StageSpec> start(IntToDoubleFunction expectedMillis, long now) {
+  public List<StageSpec> start(StageTimes times, long now) {
     List<StageSpec> started = new ArrayList<>();
     for (StageSpec stage : stages) {
       if (states[stage.index()] == State.WAITING && inputsDone(stage)) {
-        double own = expectedMillis.applyAsDouble(stage.index());
-        if (hasReader(stage.index()) || longestOther(stage.index(), expectedMillis, now) <= own) {
+        double own = times.expectedMillis(stage.index(), 0);
+        if (hasReader(stage.index()) || longestOther(stage.index(), times, now) <= own) {
           started.add(stage);
         }
       }
@@ -99,17 +110,16 @@
         .anyMatch(stage -> stage.after().contains(index) && pieces[stage.index()] > 0);
   }
 
-  private double longestOther(int index, IntToDoubleFunction expectedMillis, long now) {
-    IntToDoubleFunction left =
-        stage -> {
+  private double longestOther(int index, StageTimes times, long now) {
+    StageTimes left =
+        (stage, offset) -> {
           double elapsed = states[stage] == State.RUNNING ? (now - startedAt[stage]) / 1e6 : 0;
-          return Math.max(0, expectedMillis.applyAsDouble(stage) - elapsed);
+          return Math.max(0, times.expectedMillis(stage, offset) - elapsed);
         };
     double longest = 0;
     for (StageSpec stage : stages) {
-      boolean unstartedChain = stage.index() != index && unstarted(stage.index());
-      if (unstartedChain) {
-        longest = Math.max(longest, remaining(stage.index(), left));
+      if (stage.index() != index && unstarted(stage.index())) {
+        longest = Math.max(longest, remaining(stage.index(), 0, left));
       }
     }
     return longest;
@@ -123,32 +133,41 @@
   }
 
   /** Returns the expected time until a stage and what reads it are done. */
-  private double remaining(int index, IntToDoubleFunction expectedMillis) {
+  private double remaining(int index, double offsetMillis, StageTimes times) {
     if (states[index] == State.DONE) {
       return 0;
     }
+    double own = times.expectedMillis(index, offsetMillis);
     double after = 0;
     for (StageSpec stage : stages) {
       if (stage.after().contains(index)) {
-        after = Math.max(after, remaining(stage.index(), expectedMillis));
+        after = Math.max(after, remaining(stage.index(), offsetMillis + own, times));
       }
     }
-    return expectedMillis.applyAsDouble(index) + after;
+    return own + after;
   }
 
   /** Returns the expected time until all stages are done. */
-  public double remainingMillis(IntToDoubleFunction expectedMillis) {
+  public double remainingMillis(StageTimes times) {
     double longest = 0;
     for (StageSpec stage : stages) {
-      longest = Math.max(longest, remaining(stage.index(), expectedMillis));
+      if (stage.after().stream().allMatch(before -> states[before] == State.DONE)) {
+        longest = Math.max(longest, remaining(stage.index(), 0, times));
+      }
     }
     return longest;
   }
 
-  /** Returns the expected time of what follows a stage. */
-  public double remainingAfter(int index, IntToDoubleFunction expectedMillis) {
-    return remaining(index, expectedMillis)
-        - (states[index] == State.DONE ? 0 : expectedMillis.applyAsDouble(index));
+  /** Returns the expected time of what follows a stage that starts now. */
+  public double remainingAfter(int index, StageTimes times) {
+    double own = times.expectedMillis(index, 0);
+    double after = 0;
+    for (StageSpec stage : stages) {
+      if (stage.after().contains(index)) {
+        after = Math.max(after, remaining(stage.index(), own, times));
+      }
+    }
+    return after;
   }
 
   /** Returns the numbers of the pieces of a stage that have no result. */
--- a/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.StageService;
@@ -54,6 +55,15 @@
    */
   private static final Duration ZONE_PATIENCE = Duration.ofMillis(60);
 
+  /** Space is scarce if the results of a full call take more than this share of it. */
+  private static final double SCARCE_SPACE = 0.5;
+
+  /**
+   * Time after which late work is given up if it was never begun. Its inputs occupy space, and what
+   * can still be on time goes first.
+   */
+  private static final Duration LATE_PATIENCE = Duration.ofMillis(1500);
+
   /** Pause after a refusal for lack of space, about the time in which results are read. */
   private static final Duration SPACE_PAUSE = Duration.ofMillis(150);
 
@@ -67,6 +77,7 @@
   private final String serviceName;
   private final Map<String, Server> servers = new LinkedHashMap<>();
   private final Map<WorkId, Group> groups = new LinkedHashMap<>();
+  private final Map<WorkId, Announced> announced = new HashMap<>();
   private final Map<Long, Call> calls = new HashMap<>();
   private long nextCall = 1;
   private double holdNanos = FIRST_HOLD.toNanos();
@@ -78,6 +89,8 @@
     }
   }
 
+  private record Announced(int rank, long resultBytes, int pieces) {}
+
   /** What a change of the queue leads to. */
   public static final class Effects {
     private final Map<StageWork, List<PieceOutcome>> outcomes = new LinkedHashMap<>();
@@ -183,17 +196,28 @@
 
   /** Adds work. Work that was added before is ignored. */
   public void add(StageWork work, long now) {
+    announced.remove(WorkId.of(work));
     groups.putIfAbsent(WorkId.of(work), new Group(work, now));
   }
 
+  /**
+   * Records work whose inputs are still being made, so that it counts as load. It ends with the
+   * work of the same ticket, or is withdrawn.
+   */
+  public void announce(String origin, long ticket, int rank, long resultBytes, int pieces) {
+    announced.put(new WorkId(origin, ticket), new Announced(rank, resultBytes, pieces));
+  }
+
   /** Withdraws work that nobody waits for; results that still arrive become unused. */
   public void cancel(String origin, long ticket) {
     groups.remove(new WorkId(origin, ticket));
+    announced.remove(new WorkId(origin, ticket));
   }
 
   /** Withdraws all work of a process that is gone. */
   public void cancelAll(String origin) {
     groups.keySet().removeIf(id -> id.origin().equals(origin));
+    announced.keySet().removeIf(id -> id.origin().equals(origin));
   }
 
   /** Records that results were freed at their makers. */
@@ -290,7 +314,8 @@
     boolean oversized =
         group.waiting.size() > service.batch()
             || group.waiting.size() * bytes > service.resultSpaceBytes();
-    return whole || group.begun || oversized ? Math.max(0, fitting) : 0;
+    boolean scarceSpace = bytes * service.batch() > service.resultSpaceBytes() * SCARCE_SPACE;
+    return whole || group.begun || oversized || !scarceSpace ? Math.max(0, fitting) : 0;
   }
 
   private List<Group> ordered(Server server, long now) {
@@ -438,7 +463,9 @@
       }
     }
     for (Group group : List.copyOf(groups.values())) {
-      if (now >= group.work.deadline()) {
+      boolean hopeless =
+          !group.begun && now - group.work.latestStart() > LATE_PATIENCE.toNanos();
+      if (hopeless || now >= group.work.deadline()) {
         for (int piece : List.copyOf(group.open)) {
           finish(group, PieceOutcome.failed(piece, PieceOutcome.Status.LATE), effects);
         }
@@ -486,16 +513,24 @@
   /** Returns the load as other processes see it. */
   public StageLoad load(long now) {
     TreeMap<Integer, Double> waiting = new TreeMap<>();
+    TreeMap<Integer, Double> coming = new TreeMap<>();
     for (Group group : groups.values()) {
-      if (!group.waiting.isEmpty() && group.work.latestStart() >= now) {
-        waiting.merge(
-            group.work.rank(),
-            group.waiting.size() * shareOfCall(group.work.resultBytes()),
-            Double::sum);
+      if (!group.waiting.isEmpty() && (group.begun || group.work.latestStart() >= now)) {
+        double share = group.waiting.size() * shareOfCall(group.work.resultBytes());
+        waiting.merge(group.work.rank(), share, Double::sum);
       }
     }
+    for (Announced work : announced.values()) {
+      coming.merge(work.rank(), work.pieces() * shareOfCall(work.resultBytes()), Double::sum);
+    }
+    TreeSet<Integer> ranks = new TreeSet<>(waiting.keySet());
+    ranks.addAll(coming.keySet());
     List<StageLoad.Queued> queued = new ArrayList<>();
-    waiting.forEach((rank, share) -> queued.add(new StageLoad.Queued(rank, share)));
+    for (int rank : ranks) {
+      queued.add(
+          new StageLoad.Queued(
+              rank, waiting.getOrDefault(rank, 0.0), coming.getOrDefault(rank, 0.0)));
+    }
     int usable = 0;
     long residual = Long.MAX_VALUE;
     for (Server server : servers.values()) {
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -131,10 +131,11 @@
     for (String candidate : services.regions().all()) {
       double millis =
           progress.remainingMillis(
-                  stage ->
+                  (stage, offset) ->
                       services
                           .desk()
-                          .expectedMillis(route.stages().get(stage).service(), candidate, rank))
+                          .expectedMillis(
+                              route.stages().get(stage).service(), candidate, rank, offset))
               + services.firstByteTimes().expectedMillis(route.name());
       boolean engines =
           services.control().roster().usable(service).stream()
@@ -185,7 +186,7 @@
               }
             });
     stages = run;
-    run.advance();
+    run.begin();
   }
 
   private void logRouted(String reason, long expectedMillis) {
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
@@ -15,8 +15,10 @@
 import org.oriolewell.core.route.RouteTable;
 import org.oriolewell.core.route.ServiceSpec;
 import org.oriolewell.core.route.StageService;
+import org.oriolewell.core.route.StageSpec;
 import org.oriolewell.core.stage.PieceOutcome;
 import org.oriolewell.core.stage.StageLoad;
+import org.oriolewell.core.stage.StageProgress;
 import org.oriolewell.core.stage.StageWork;
 import org.oriolewell.runtime.log.EventLog;
 import org.oriolewell.runtime.net.EventLoop;
@@ -116,10 +118,53 @@
    * Returns the expected time of a stage in a region.
    *
    * @param rank urgency of the request
+   * @param offsetMillis time from now until the stage is handed over
    */
-  double expectedMillis(String service, String region, int rank) {
+  double expectedMillis(String service, String region, int rank, double offsetMillis) {
     StageLoad load = loads.get(new Place(service, region));
-    return load == null ? UNKNOWN_LOAD_MILLIS : load.expectedMillis(rank);
+    return load == null ? UNKNOWN_LOAD_MILLIS : load.expectedMillis(rank, offsetMillis);
+  }
+
+  /** Returns a number for {@link #submit}. */
+  long newTicket() {
+    return nextTicket++;
+  }
+
+  /**
+   * Tells a dispatcher of a stage that will be handed over when its inputs are made.
+   *
+   * @return the ticket under which it will be handed over
+   */
+  long announce(StageSpec stage, String region, int rank, StageProgress progress) {
+    long ticket = newTicket();
+    int pieces = progress.missingPieces(stage.index()).size();
+    String owner = mesh().dispatcher(stage.service(), region);
+    if (owner.equals(control.self().name())) {
+      StageDispatcher local = dispatcher(new Place(stage.service(), region));
+      if (local != null) {
+        local.announce(LOCAL_ORIGIN, ticket, rank, stage.resultBytes(), pieces);
+      }
+    } else {
+      mesh()
+          .send(
+              owner,
+              new Message.StageAnnounce(
+                  ticket, stage.service(), region, rank, stage.resultBytes(), pieces));
+    }
+    return ticket;
+  }
+
+  /** Withdraws a stage that was announced and is not handed over. */
+  void withdraw(long ticket, String service, String region) {
+    String owner = mesh().dispatcher(service, region);
+    if (owner.equals(control.self().name())) {
+      StageDispatcher local = dispatchers.get(new Place(service, region));
+      if (local != null) {
+        local.cancel(LOCAL_ORIGIN, ticket);
+      }
+    } else {
+      mesh().send(owner, new Message.StageCancel(ticket, service, region));
+    }
   }
 
   /** Returns the zone of the upstream that keeps a result, if it is listed. */
@@ -134,12 +179,12 @@
   /**
    * Hands over a stage of a request.
    *
+   * @param number ticket of {@link #newTicket} or {@link #announce}
    * @param work the work; its ticket and origin are set here
    * @param listener hears of each piece once
    * @return the ticket, for {@link #cancel}
    */
-  long submit(StageWork work, String region, Consumer<PieceOutcome> listener) {
-    long number = nextTicket++;
+  long submit(long number, StageWork work, String region, Consumer<PieceOutcome> listener) {
     StageWork own =
         new StageWork(
             number,
@@ -299,6 +344,17 @@
       if (dispatcher != null) {
         dispatcher.submit(work(origin, submit));
       }
+    } else if (message instanceof Message.StageAnnounce announce) {
+      StageDispatcher dispatcher =
+          dispatcher(new Place(announce.service(), announce.region()));
+      if (dispatcher != null) {
+        dispatcher.announce(
+            origin,
+            announce.ticket(),
+            announce.rank(),
+            announce.resultBytes(),
+            announce.pieces());
+      }
     } else if (message instanceof Message.StageCancel cancel) {
       StageDispatcher dispatcher = dispatchers.get(new Place(cancel.service(), cancel.region()));
       if (dispatcher != null) {
@@ -356,7 +412,11 @@
   private static StageLoad decode(Message.StageLoadReport report) {
     List<StageLoad.Queued> queued = new ArrayList<>();
     for (int i = 0; i < report.ranks().size(); i++) {
-      queued.add(new StageLoad.Queued(report.ranks().get(i), report.calls().get(i) / 1000.0));
+      queued.add(
+          new StageLoad.Queued(
+              report.ranks().get(i),
+              report.calls().get(i) / 1000.0,
+              report.announced().get(i) / 1000.0));
     }
     return new StageLoad(
         report.service(), report.upstreams(), report.callMillis(), report.residualMillis(), queued);
@@ -409,9 +469,11 @@
   private static Message encode(Place place, StageLoad load) {
     List<Integer> ranks = new ArrayList<>();
     List<Integer> calls = new ArrayList<>();
+    List<Integer> announced = new ArrayList<>();
     for (StageLoad.Queued queued : load.queued()) {
       ranks.add(queued.rank());
       calls.add((int) Math.min(Integer.MAX_VALUE, queued.calls() * 1000));
+      announced.add((int) Math.min(Integer.MAX_VALUE, queued.announced() * 1000));
     }
     return new Message.StageLoadReport(
         place.service(),
@@ -420,7 +482,8 @@
         load.callMillis(),
         load.residualMillis(),
         ranks,
-        calls);
+        calls,
+        announced);
   }
 
   /** Returns whether no dispatcher of this node has work. */
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -77,6 +77,11 @@
     pump();
   }
 
+  /** Records work whose inputs are still being made. */
+  void announce(String origin, long ticket, int rank, long resultBytes, int pieces) {
+    queue.announce(origin, ticket, rank, resultBytes, pieces);
+  }
+
   /** Withdraws work. */
   void cancel(String origin, long ticket) {
     queue.cancel(origin, ticket);
--- a/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
@@ -34,6 +34,7 @@
   private final StageProgress progress;
   private final Listener listener;
   private final Map<Integer, Long> tickets = new HashMap<>();
+  private final Map<Integer, Long> announced = new HashMap<>();
   private boolean ended;
 
   StageRun(
@@ -61,12 +62,24 @@
     this.listener = listener;
   }
 
-  private double expectedMillis(int stage) {
-    return services.desk().expectedMillis(route.stages().get(stage).service(), region, rank);
+  private double expectedMillis(int stage, double offsetMillis) {
+    return services
+        .desk()
+        .expectedMillis(route.stages().get(stage).service(), region, rank, offsetMillis);
+  }
+
+  /** Begins with the first stages and announces the others. */
+  void begin() {
+    for (StageSpec stage : route.stages()) {
+      if (!stage.after().isEmpty() && !progress.done(stage.index())) {
+        announced.put(stage.index(), services.desk().announce(stage, region, rank, progress));
+      }
+    }
+    advance();
   }
 
   /** Starts the stages that can run now. */
-  void advance() {
+  private void advance() {
     if (ended) {
       return;
     }
@@ -87,7 +100,7 @@
             + services.firstByteTimes().expectedMillis(route.name());
     long afterNanos = Duration.ofMillis((long) Math.min(after, 60_000)).toNanos();
     long callNanos =
-        Duration.ofMillis((long) Math.min(expectedMillis(stage.index()), 300)).toNanos();
+        Duration.ofMillis((long) Math.min(expectedMillis(stage.index(), 0), 300)).toNanos();
     StageWork work =
         new StageWork(
             0,
@@ -111,13 +124,20 @@
         .with("service", stage.service())
         .with("region", region)
         .with("pieces", work.pieces().size())
-        .with("expected_ms", (long) Math.min(expectedMillis(stage.index()), 1e6))
+        .with("expected_ms", (long) Math.min(expectedMillis(stage.index(), 0), 1e6))
         .with("slack_ms", Services.millis(now, work.latestStart()))
         .write();
     long sentAt = now;
     tickets.put(
         stage.index(),
-        services.desk().submit(work, region, outcome -> pieceEnded(stage, outcome, sentAt)));
+        services
+            .desk()
+            .submit(
+                announced.getOrDefault(stage.index(), services.desk().newTicket()),
+                work,
+                region,
+                outcome -> pieceEnded(stage, outcome, sentAt)));
+    announced.remove(stage.index());
   }
 
   private void pieceEnded(StageSpec stage, PieceOutcome outcome, long sentAt) {
@@ -190,6 +210,12 @@
     ended = true;
     tickets.values().forEach(services.desk()::cancel);
     tickets.clear();
+    announced.forEach(
+        (stage, ticket) ->
+            services
+                .desk()
+                .withdraw(ticket, route.stages().get(stage).service(), region));
+    announced.clear();
     release(progress.takeAll());
   }
 }
--- a/runtime/src/main/java/org/oriolewell/runtime/wire/Message.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/wire/Message.java
@@ -251,6 +251,20 @@
       List<String> handles)
       implements Message {}
 
+  /**
+   * Tells a dispatcher of work whose inputs are still being made.
+   *
+   * @param ticket number under which the work will be handed over
+   * @param service service that runs the stage
+   * @param region region in which it is to run
+   * @param rank urgency, the lowest first
+   * @param resultBytes approximate size of one result
+   * @param pieces number of pieces
+   */
+  record StageAnnounce(
+      long ticket, String service, String region, int rank, long resultBytes, int pieces)
+      implements Message {}
+
   /** Withdraws work of a service in a region. */
   record StageCancel(long ticket, String service, String region) implements Message {}
 
@@ -267,6 +281,7 @@
    * @param residualMillis time until an upstream is free
    * @param ranks ranks of waiting work, ascending
    * @param calls waiting work of each rank, in thousandths of a full call
+   * @param announced announced work of each rank, in thousandths of a full call
    */
   record StageLoadReport(
       String service,
@@ -275,6 +290,7 @@
       long callMillis,
       long residualMillis,
       List<Integer> ranks,
-      List<Integer> calls)
+      List<Integer> calls,
+      List<Integer> announced)
       implements Message {}
 }
--- a/runtime/src/main/java/org/oriolewell/runtime/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/wire/MessageCodec.java
@@ -43,6 +43,7 @@
   private static final int STAGE_CANCEL = 22;
   private static final int STAGE_RELEASE = 23;
   private static final int STAGE_LOAD_REPORT = 24;
+  private static final int STAGE_ANNOUNCE = 25;
 
   private MessageCodec() {}
 
@@ -156,6 +157,9 @@
       writeInts(out, m.pieces());
       writeInts(out, m.statuses());
       writeStrings(out, m.handles());
+    } else if (message instanceof Message.StageAnnounce m) {
+      header(out, 7, STAGE_ANNOUNCE).packLong(m.ticket()).packString(m.service());
+      out.packString(m.region()).packInt(m.rank()).packLong(m.resultBytes()).packInt(m.pieces());
     } else if (message instanceof Message.StageCancel m) {
       header(out, 4, STAGE_CANCEL).packLong(m.ticket()).packString(m.service());
       out.packString(m.region());
@@ -163,10 +167,11 @@
       header(out, 4, STAGE_RELEASE).packString(m.service()).packString(m.region());
       writeStrings(out, m.handles());
     } else if (message instanceof Message.StageLoadReport m) {
-      header(out, 8, STAGE_LOAD_REPORT).packString(m.service()).packString(m.region());
+      header(out, 9, STAGE_LOAD_REPORT).packString(m.service()).packString(m.region());
       out.packInt(m.upstreams()).packLong(m.callMillis()).packLong(m.residualMillis());
       writeInts(out, m.ranks());
       writeInts(out, m.calls());
+      writeInts(out, m.announced());
     }
   }
 
@@ -305,7 +310,16 @@
               in.unpackLong(),
               in.unpackLong(),
               readInts(in),
+              readInts(in),
               readInts(in));
+      case STAGE_ANNOUNCE ->
+          new Message.StageAnnounce(
+              in.unpackLong(),
+              in.unpackString(),
+              in.unpackString(),
+              in.unpackInt(),
+              in.unpackLong(),
+              in.unpackInt());
       default -> throw new WireException("message type " + type + " is unknown");
     };
   }
