--- a/core/src/main/java/org/oriolewell/core/overload/StageAdmission.java
+++ b/core/src/main/java/org/oriolewell/core/overload/StageAdmission.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decides at a request's first instant whether its stages can be done in time, and in which region.
@@ -23,14 +24,28 @@
 
   private StageAdmission() {}
 
+  /**
+   * A request that can't be on time is still served if it is expected within this part of the
+   * caller's patience, and within {@link #LATE_MILLIS}: then there is hardly any other work.
+   */
+  private static final double LATE_SHARE = 0.4;
+
+  private static final double LATE_MILLIS = 1500;
+
   /**
    * Expected time until the first byte of an answer.
    *
    * @param region region that would serve the request
    * @param own whether it is the region of this node
-   * @param millis expected time; infinite if the region can't serve the request
+   * @param millis expected time in the order of the request's rank; infinite if the region can't
+   *     serve the request
+   * @param lateMillis expected time behind all other work
    */
-  public record Estimate(String region, boolean own, double millis) {}
+  public record Estimate(String region, boolean own, double millis, double lateMillis) {
+    private double cost(boolean late) {
+      return (late ? lateMillis : millis) + (own ? 0 : CROSSING_MILLIS);
+    }
+  }
 
   /** The decision. */
   public sealed interface Decision {
@@ -39,8 +54,9 @@
      *
      * @param region region that serves it
      * @param expectedMillis expected time until the first byte
+     * @param late whether it runs after all work that can be on time
      */
-    record Accept(String region, double expectedMillis) implements Decision {}
+    record Accept(String region, double expectedMillis, boolean late) implements Decision {}
 
     /**
      * The request is refused.
@@ -60,17 +76,13 @@
    */
   public static Decision decide(
       List<Estimate> estimates, double targetMillis, double patienceMillis) {
-    Estimate best = null;
-    double bestCost = Double.POSITIVE_INFINITY;
-    for (Estimate estimate : estimates) {
-      double cost = estimate.millis() + (estimate.own() ? 0 : CROSSING_MILLIS);
-      if (cost < bestCost) {
-        best = estimate;
-        bestCost = cost;
-      }
-    }
+    Estimate best = cheapest(estimates, false);
     if (best != null && best.millis() <= targetMillis) {
-      return new Decision.Accept(best.region(), best.millis());
+      return new Decision.Accept(best.region(), best.millis(), false);
+    }
+    Estimate late = cheapest(estimates, true);
+    if (late != null && late.lateMillis() <= Math.min(LATE_MILLIS, patienceMillis * LATE_SHARE)) {
+      return new Decision.Accept(late.region(), late.lateMillis(), true);
     }
     double expected = best == null ? Double.POSITIVE_INFINITY : best.millis();
     double excess = Math.max(MIN_RETRY_AFTER.toMillis(), expected - targetMillis);
@@ -78,4 +90,15 @@
     Duration retryAfter = Duration.ofMillis((long) Math.min(excess, longest));
     return new Decision.Refuse(retryAfter, expected);
   }
+
+  private static @Nullable Estimate cheapest(List<Estimate> estimates, boolean late) {
+    Estimate best = null;
+    for (Estimate estimate : estimates) {
+      double cost = estimate.cost(late);
+      if (cost < (best == null ? Double.POSITIVE_INFINITY : best.cost(late))) {
+        best = estimate;
+      }
+    }
+    return best;
+  }
 }
--- a/core/src/main/java/org/oriolewell/core/stage/StageLoad.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageLoad.java
@@ -13,6 +13,9 @@
  */
 public record StageLoad(
     String service, int upstreams, long callMillis, long residualMillis, List<Queued> queued) {
+  /** Rank of work that can't be on time any more; it runs after all other work. */
+  public static final int LATE_RANK = 1 << 20;
+
   /** Copies the list. */
   public StageLoad {
     queued = List.copyOf(queued);
--- a/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
@@ -64,6 +64,13 @@
    */
   private static final Duration LATE_PATIENCE = Duration.ofMillis(1500);
 
+  /**
+   * Idle time of an upstream before a call is made for late work alone. A call can't be interrupted,
+   * so one that serves only late work makes work late that arrives during it; until then late work
+   * fills the free places of other calls.
+   */
+  private static final Duration LATE_IDLE = Duration.ofMillis(150);
+
   /** Pause after a refusal for lack of space, about the time in which results are read. */
   private static final Duration SPACE_PAUSE = Duration.ofMillis(150);
 
@@ -148,11 +155,13 @@
     private int running;
     private long reservedBytes;
     private long resultBytes;
+    private long idleSince;
     private long pausedUntil = Long.MIN_VALUE;
     private int failures;
 
-    private Server(UpstreamInstance instance) {
+    private Server(UpstreamInstance instance, long now) {
       this.instance = instance;
+      this.idleSince = now;
     }
 
     private void pause(long now, Duration time) {
@@ -180,13 +189,13 @@
   }
 
   /** Replaces the list of upstreams; calls that run at a removed one go on. */
-  public void upstreams(Collection<UpstreamInstance> instances) {
+  public void upstreams(Collection<UpstreamInstance> instances, long now) {
     Set<String> present = new HashSet<>();
     for (UpstreamInstance instance : instances) {
       present.add(instance.id());
       Server known = servers.get(instance.id());
       if (known == null || !known.instance.sameStart(instance)) {
-        servers.put(instance.id(), new Server(instance));
+        servers.put(instance.id(), new Server(instance, now));
       } else {
         known.instance = instance;
       }
@@ -265,7 +274,11 @@
     List<StageCall.Item> items = new ArrayList<>();
     long space = service.resultSpaceBytes() - server.resultBytes - server.reservedBytes;
     long reserved = 0;
+    boolean idleLong = now - server.idleSince >= LATE_IDLE.toNanos();
     for (Group group : ordered(server, now)) {
+      if (items.isEmpty() && isLate(group, now) && !idleLong) {
+        return null;
+      }
       int places = service.batch() - items.size();
       if (places == 0) {
         break;
@@ -298,6 +311,10 @@
             .noneMatch(other -> near(other, group) && now >= other.pausedUntil);
   }
 
+  private static boolean isLate(Group group, long now) {
+    return !group.begun && group.work.latestStart() < now;
+  }
+
   private static boolean near(Server server, Group group) {
     return group.work.zone().isEmpty() || group.work.zone().equals(server.instance.zone());
   }
@@ -327,7 +344,7 @@
     }
     order.sort(
         Comparator.comparing((Group group) -> !group.begun)
-            .thenComparing((Group group) -> group.work.latestStart() < now)
+            .thenComparing((Group group) -> isLate(group, now))
             .thenComparing((Group group) -> !near(server, group))
             .thenComparingInt(group -> group.work.rank())
             .thenComparingLong(group -> group.work.latestStart()));
@@ -341,7 +358,7 @@
    */
   public Effects completed(long callId, List<PieceOutcome> outcomes, long now) {
     Effects effects = new Effects();
-    Call call = end(callId);
+    Call call = end(callId, now);
     if (call == null) {
       outcomes.forEach(outcome -> addUnused(effects, outcome));
       return effects;
@@ -419,7 +436,7 @@
    */
   public Effects failed(long callId, boolean refused, long now) {
     Effects effects = new Effects();
-    Call call = end(callId);
+    Call call = end(callId, now);
     if (call == null) {
       return effects;
     }
@@ -438,10 +455,11 @@
     return effects;
   }
 
-  private @Nullable Call end(long callId) {
+  private @Nullable Call end(long callId, long now) {
     Call call = calls.remove(callId);
     if (call != null) {
       call.server.running--;
+      call.server.idleSince = now;
       long bytes = call.call.items().stream().mapToLong(item -> item.work().resultBytes()).sum();
       call.server.reservedBytes -= bytes;
     }
@@ -463,8 +481,8 @@
       }
     }
     for (Group group : List.copyOf(groups.values())) {
-      boolean hopeless =
-          !group.begun && now - group.work.latestStart() > LATE_PATIENCE.toNanos();
+      long lateSince = Math.max(group.addedAt, group.work.latestStart());
+      boolean hopeless = !group.begun && now - lateSince > LATE_PATIENCE.toNanos();
       if (hopeless || now >= group.work.deadline()) {
         for (int piece : List.copyOf(group.open)) {
           finish(group, PieceOutcome.failed(piece, PieceOutcome.Status.LATE), effects);
@@ -515,9 +533,10 @@
     TreeMap<Integer, Double> waiting = new TreeMap<>();
     TreeMap<Integer, Double> coming = new TreeMap<>();
     for (Group group : groups.values()) {
-      if (!group.waiting.isEmpty() && (group.begun || group.work.latestStart() >= now)) {
+      if (!group.waiting.isEmpty()) {
+        boolean late = isLate(group, now);
         double share = group.waiting.size() * shareOfCall(group.work.resultBytes());
-        waiting.merge(group.work.rank(), share, Double::sum);
+        waiting.merge(late ? StageLoad.LATE_RANK : group.work.rank(), share, Double::sum);
       }
     }
     for (Announced work : announced.values()) {
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -11,7 +11,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.oriolewell.core.overload.CallerPatience;
 import org.oriolewell.core.overload.FirstByteTimes;
+import org.oriolewell.core.overload.ForecastBias;
 import org.oriolewell.core.placement.Placement;
 import org.oriolewell.core.placement.UpstreamHealth;
 import org.oriolewell.core.retry.RetryBudget;
@@ -98,6 +100,8 @@
             health,
             Placement.of(health, new SplittableRandom(self.name().hashCode())),
             FirstByteTimes.create(),
+            ForecastBias.create(),
+            CallerPatience.create(),
             RetryBudget.create(budget(settings)),
             metrics,
             log);
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -18,6 +18,7 @@
 import org.oriolewell.core.route.RouteTable;
 import org.oriolewell.core.route.ServiceSpec;
 import org.oriolewell.core.route.Workspace;
+import org.oriolewell.core.stage.StageLoad;
 import org.oriolewell.core.stage.StageProgress;
 import org.oriolewell.gateway.RequestDialect.Additions;
 import org.oriolewell.gateway.RequestDialect.Intent;
@@ -61,7 +62,7 @@
   private final long startedAt;
   private final long targetAt;
   private final long giveUpAt;
-  private final int rank;
+  private int rank;
   private final String service;
   private final Set<String> tried = new HashSet<>();
   private String region;
@@ -71,6 +72,7 @@
   private @Nullable AnswerStream stream;
   private int sends;
   private int openFailures;
+  private double forecastMillis = -1;
   private long firstByteMillis = -1;
   private long sentAt;
   private boolean sentOnce;
@@ -93,8 +95,12 @@
     this.table = table;
     this.onEnd = onEnd;
     this.startedAt = exchange.request().receivedAt();
-    this.targetAt = startedAt + route.latencyTarget().toNanos();
     Duration patience = intent.patience();
+    Duration waited =
+        patience == null
+            ? Duration.ZERO
+            : services.patience().waitedBefore(route.name(), patience);
+    this.targetAt = startedAt + route.latencyTarget().minus(waited).toNanos();
     Duration limit =
         patience != null && patience.compareTo(route.timeout()) < 0 ? patience : route.timeout();
     this.giveUpAt = startedAt + limit.toNanos();
@@ -129,37 +135,51 @@
     StageProgress progress = StageProgress.of(route.stages(), pieces);
     List<Estimate> estimates = new ArrayList<>();
     for (String candidate : services.regions().all()) {
-      double millis =
-          progress.remainingMillis(
-                  (stage, offset) ->
-                      services
-                          .desk()
-                          .expectedMillis(
-                              route.stages().get(stage).service(), candidate, rank, offset))
-              + services.firstByteTimes().expectedMillis(route.name());
       boolean engines =
           services.control().roster().usable(service).stream()
               .anyMatch(engine -> services.regions().of(engine.zone()).equals(candidate));
       estimates.add(
           new Estimate(
-              candidate, candidate.equals(region), engines ? millis : Double.POSITIVE_INFINITY));
+              candidate,
+              candidate.equals(region),
+              engines ? forecast(progress, candidate, rank) : Double.POSITIVE_INFINITY,
+              engines
+                  ? forecast(progress, candidate, StageLoad.LATE_RANK)
+                  : Double.POSITIVE_INFINITY));
     }
     long now = services.loop().now();
     Decision decision =
         StageAdmission.decide(
             estimates, Services.millis(now, targetAt), Services.millis(now, giveUpAt));
     if (decision instanceof Decision.Refuse refuse) {
+      services.bias().refused(route.name());
       refuse(
           "stages would take " + (long) Math.min(refuse.expectedMillis(), 1e6) + " ms",
           "overload",
           refuse.retryAfter());
     } else if (decision instanceof Decision.Accept accept) {
       region = accept.region();
-      logRouted("stages in time", (long) accept.expectedMillis());
+      if (accept.late()) {
+        rank = StageLoad.LATE_RANK;
+      } else {
+        forecastMillis = accept.expectedMillis() - services.bias().millis(route.name());
+      }
+      logRouted(accept.late() ? "late, behind other work" : "in time", (long) accept.expectedMillis());
       runStages(progress);
     }
   }
 
+  private double forecast(StageProgress progress, String candidate, int workRank) {
+    return progress.remainingMillis(
+            (stage, offset) ->
+                services
+                    .desk()
+                    .expectedMillis(
+                        route.stages().get(stage).service(), candidate, workRank, offset))
+        + services.firstByteTimes().expectedMillis(route.name())
+        + services.bias().millis(route.name());
+  }
+
   private void runStages(StageProgress progress) {
     StageRun run =
         new StageRun(
@@ -203,6 +223,7 @@
         .with("reason", reason)
         .with("expected_ms", expectedMillis)
         .with("target_ms", route.latencyTarget().toMillis())
+        .with("patience_ms", intent.patience() == null ? null : intent.patience().toMillis())
         .with("view_age_ms", services.control().ageMillis())
         .write();
   }
@@ -331,6 +352,10 @@
     long now = services.loop().now();
     firstByteMillis = Services.millis(startedAt, now);
     services.firstByteTimes().observed(route.name(), Services.millis(sentAt, now));
+    if (forecastMillis >= 0) {
+      services.bias().observed(route.name(), forecastMillis, firstByteMillis);
+      forecastMillis = -1;
+    }
     services.metrics().firstByte(route.name(), firstByteMillis / 1000.0);
     releaseStages();
   }
--- a/gateway/src/main/java/org/oriolewell/gateway/Services.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Services.java
@@ -1,7 +1,9 @@
 package org.oriolewell.gateway;
 
 import java.time.Duration;
+import org.oriolewell.core.overload.CallerPatience;
 import org.oriolewell.core.overload.FirstByteTimes;
+import org.oriolewell.core.overload.ForecastBias;
 import org.oriolewell.core.placement.Placement;
 import org.oriolewell.core.placement.UpstreamHealth;
 import org.oriolewell.core.retry.RetryBudget;
@@ -20,6 +22,8 @@
  * @param health observations of upstreams
  * @param placement choice of upstreams
  * @param firstByteTimes observed times of upstreams
+ * @param bias correction of forecasts
+ * @param patience what callers state of their patience
  * @param budget second attempts
  * @param metrics counters
  * @param log decisions
@@ -34,6 +38,8 @@
     UpstreamHealth health,
     Placement placement,
     FirstByteTimes firstByteTimes,
+    ForecastBias bias,
+    CallerPatience patience,
     RetryBudget budget,
     GatewayMetrics metrics,
     EventLog log) {
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -66,7 +66,7 @@
 
   /** Replaces the list of upstreams. */
   void upstreams(Collection<UpstreamInstance> instances) {
-    queue.upstreams(instances);
+    queue.upstreams(instances, loop.now());
     instances.forEach(instance -> byAddress.put(instance.address(), instance));
     pump();
   }
