--- a/core/src/main/java/org/oriolewell/core/overload/FirstByteTimes.java
+++ b/core/src/main/java/org/oriolewell/core/overload/FirstByteTimes.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 
 /**
- * Observed times from sending a request to an upstream until the first byte of its answer, by route.
- * Admission adds them to the time of the stages. Not thread-safe.
+ * Observed times from sending a request to an upstream until the first byte of its answer, by
+ * route. Admission adds them to the time of the stages. Not thread-safe.
  */
 public final class FirstByteTimes {
   /** Weight of a new observation; about the last ten requests count. */
--- a/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
@@ -6,7 +6,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,8 +23,8 @@
  * <p>Load pattern: a call costs a large fixed time besides its pieces, so one call a request
  * overloads the upstreams before the first burst. The queue gathers the pieces of all requests and
  * processes of the region and fills a call whenever an upstream is free. Under a burst the order is
- * what was begun, then what can still be on time, then rank, then the latest start. Results occupy scarce space at their
- * maker until they are freed, so a call takes only what fits.
+ * what was begun, then what can still be on time, then rank, then the latest start. Results occupy
+ * scarce space at their maker until they are freed, so a call takes only what fits.
  *
  * <p>A piece may be produced twice. A call that takes much longer than expected is therefore
  * repeated at another upstream, and the first result counts. Two dispatchers of one service at the
@@ -65,9 +64,9 @@
   private static final Duration LATE_PATIENCE = Duration.ofMillis(1500);
 
   /**
-   * Idle time of an upstream before a call is made for late work alone. A call can't be interrupted,
-   * so one that serves only late work makes work late that arrives during it; until then late work
-   * fills the free places of other calls.
+   * Idle time of an upstream before a call is made for late work alone. A call can't be
+   * interrupted, so one that serves only late work makes work late that arrives during it; until
+   * then late work fills the free places of other calls.
    */
   private static final Duration LATE_IDLE = Duration.ofMillis(150);
 
--- /dev/null
+++ b/core/src/test/java/org/oriolewell/core/stage/StageProgressTest.java
@@ -0,0 +1,96 @@
+package org.oriolewell.core.stage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.oriolewell.core.route.StageSpec;
+import org.oriolewell.core.stage.StageProgress.StageTimes;
+
+/** Guards against stages that start without their inputs, too early, or never. */
+class StageProgressTest {
+  private static final long MILLI = 1_000_000;
+  private static final StageTimes TIMES = (stage, offset) -> 300;
+
+  /** A large result for the request itself, beside a chain of three stages. */
+  private static final List<StageSpec> STAGES =
+      List.of(
+          new StageSpec(0, "encode", List.of(), 3_000_000),
+          new StageSpec(1, "encode", List.of(), 8_000),
+          new StageSpec(2, "retrieve", List.of(1), 60_000),
+          new StageSpec(3, "rerank", List.of(2), 6_000));
+
+  private static List<Integer> indexes(List<StageSpec> stages) {
+    return stages.stream().map(StageSpec::index).toList();
+  }
+
+  @Test
+  void largeResultIsHeldBackUntilChainNeedsNoLonger() {
+    StageProgress progress = StageProgress.of(STAGES, new int[] {1, 1, 1, 1});
+
+    assertThat(indexes(progress.start(TIMES, 0))).containsExactly(1);
+    progress.done(1, 0, "a/1");
+    assertThat(indexes(progress.start(TIMES, 300 * MILLI))).containsExactly(2);
+    assertThat(progress.nextStartMillis(TIMES, 300 * MILLI)).isEqualTo(300);
+    assertThat(indexes(progress.start(TIMES, 600 * MILLI))).containsExactly(0);
+  }
+
+  @Test
+  void heldBackStageStartsThoughNoOtherStageEnds() {
+    StageProgress progress = StageProgress.of(STAGES, new int[] {1, 0, 0, 1});
+
+    assertThat(indexes(progress.start(TIMES, 0))).containsExactly(0, 3);
+    assertThat(progress.nextStartMillis(TIMES, 0)).isNegative();
+  }
+
+  @Test
+  void stageWaitsForAllPiecesOfItsInputs() {
+    StageProgress progress = StageProgress.of(STAGES, new int[] {0, 2, 1, 1});
+    progress.start(TIMES, 0);
+
+    progress.done(1, 0, "a/1");
+    assertThat(progress.start(TIMES, 0)).isEmpty();
+    progress.done(1, 1, "a/2");
+    assertThat(indexes(progress.start(TIMES, 0))).containsExactly(2);
+    assertThat(progress.inputs(STAGES.get(2))).containsExactly("a/1", "a/2");
+  }
+
+  @Test
+  void secondResultOfPieceIsNotTaken() {
+    StageProgress progress = StageProgress.of(STAGES, new int[] {0, 1, 1, 1});
+
+    assertThat(progress.done(1, 0, "a/1")).isTrue();
+    assertThat(progress.done(1, 0, "b/1")).isFalse();
+    assertThat(progress.inputs(STAGES.get(2))).containsExactly("a/1");
+  }
+
+  @Test
+  void resultsAreGivenUpOnceTheirReaderIsDone() {
+    StageProgress progress = StageProgress.of(STAGES, new int[] {1, 1, 1, 1});
+    progress.done(1, 0, "a/1");
+    assertThat(progress.takeConsumed()).isEmpty();
+    progress.done(2, 0, "b/1");
+    assertThat(progress.takeConsumed()).containsExactly("a/1");
+    progress.done(3, 0, "c/1");
+    progress.done(0, 0, "d/1");
+
+    assertThat(progress.complete()).isTrue();
+    assertThat(progress.requestInputs()).containsExactly("d/1", "c/1");
+    assertThat(progress.takeAll()).contains("b/1", "c/1", "d/1").doesNotContain("a/1");
+  }
+
+  @Test
+  void numberOfCountsMustFitStages() {
+    assertThatThrownBy(() -> StageProgress.of(STAGES, new int[] {1}))
+        .hasMessageContaining("1 stages, its route has 4");
+  }
+
+  @Test
+  void remainingTimeFollowsLongestChain() {
+    StageProgress progress = StageProgress.of(STAGES, new int[] {1, 1, 1, 1});
+
+    assertThat(progress.remainingMillis(TIMES)).isEqualTo(900);
+    assertThat(progress.remainingAfter(1, TIMES)).isEqualTo(600);
+  }
+}
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -97,9 +97,7 @@
     this.startedAt = exchange.request().receivedAt();
     Duration patience = intent.patience();
     Duration waited =
-        patience == null
-            ? Duration.ZERO
-            : services.patience().waitedBefore(route.name(), patience);
+        patience == null ? Duration.ZERO : services.patience().waitedBefore(route.name(), patience);
     this.targetAt = startedAt + route.latencyTarget().minus(waited).toNanos();
     Duration limit =
         patience != null && patience.compareTo(route.timeout()) < 0 ? patience : route.timeout();
@@ -164,7 +162,8 @@
       } else {
         forecastMillis = accept.expectedMillis() - services.bias().millis(route.name());
       }
-      logRouted(accept.late() ? "late, behind other work" : "in time", (long) accept.expectedMillis());
+      logRouted(
+          accept.late() ? "late, behind other work" : "in time", (long) accept.expectedMillis());
       runStages(progress);
     }
   }
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
@@ -345,15 +345,10 @@
         dispatcher.submit(work(origin, submit));
       }
     } else if (message instanceof Message.StageAnnounce announce) {
-      StageDispatcher dispatcher =
-          dispatcher(new Place(announce.service(), announce.region()));
+      StageDispatcher dispatcher = dispatcher(new Place(announce.service(), announce.region()));
       if (dispatcher != null) {
         dispatcher.announce(
-            origin,
-            announce.ticket(),
-            announce.rank(),
-            announce.resultBytes(),
-            announce.pieces());
+            origin, announce.ticket(), announce.rank(), announce.resultBytes(), announce.pieces());
       }
     } else if (message instanceof Message.StageCancel cancel) {
       StageDispatcher dispatcher = dispatchers.get(new Place(cancel.service(), cancel.region()));
--- a/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
@@ -220,9 +220,7 @@
     tickets.clear();
     announced.forEach(
         (stage, ticket) ->
-            services
-                .desk()
-                .withdraw(ticket, route.stages().get(stage).service(), region));
+            services.desk().withdraw(ticket, route.stages().get(stage).service(), region));
     announced.clear();
     release(progress.takeAll());
   }
--- a/runtime/src/test/java/org/oriolewell/runtime/wire/WireTest.java
+++ b/runtime/src/test/java/org/oriolewell/runtime/wire/WireTest.java
@@ -70,7 +70,8 @@
             new Message.StageResults(18, "s", List.of(0, 7), List.of(0, 1), List.of("h", "")),
             new Message.StageCancel(18, "s", "g"),
             new Message.StageRelease("s", "g", List.of("h")),
-            new Message.StageLoadReport("s", "r", 2, 280, 30, List.of(1, 2), List.of(500, 1500), List.of(0, 7)),
+            new Message.StageLoadReport(
+                "s", "r", 2, 280, 30, List.of(1, 2), List.of(500, 1500), List.of(0, 7)),
             new Message.StageAnnounce(19, "s", "g", 2, 60_000, 6));
 
     WireConnection connection = client.connect(server.address(), new Recorder()).get();
