--- a/core/src/main/java/org/oriolewell/core/placement/Placement.java
+++ b/core/src/main/java/org/oriolewell/core/placement/Placement.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.routing.Hashing;
@@ -80,13 +79,11 @@
    * Chooses an engine.
    *
    * @param candidates usable engines
-   * @param preferred engines to take while one of them is healthy and not overloaded
    * @param affinity hash of the shared part of the prompt
    * @param excluded engines that were tried already
    */
   public Optional<UpstreamInstance> byAffinity(
       Collection<UpstreamInstance> candidates,
-      Predicate<UpstreamInstance> preferred,
       long affinity,
       Set<String> excluded,
       long now) {
@@ -98,12 +95,9 @@
     double bound = mean * LOAD_BOUND + LOAD_SLACK;
     List<UpstreamInstance> order = new ArrayList<>(healthy);
     order.sort(
-        Comparator.comparing((UpstreamInstance engine) -> !preferred.test(engine))
-            .thenComparing(
-                Comparator.comparingLong(
-                        (UpstreamInstance engine) ->
-                            Hashing.rank(affinity, Hashing.of(engine.id())))
-                    .reversed()));
+        Comparator.comparingLong(
+                (UpstreamInstance engine) -> Hashing.rank(affinity, Hashing.of(engine.id())))
+            .reversed());
     return order.stream()
         .filter(engine -> health.inFlight(engine.id()) <= bound)
         .findFirst()
--- a/core/src/main/java/org/oriolewell/core/stage/StageProgress.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageProgress.java
@@ -1,7 +1,6 @@
 package org.oriolewell.core.stage;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -218,17 +217,6 @@
     return true;
   }
 
-  /** Returns the handles that the request itself reads, with the size of each result in bytes. */
-  public Map<String, Long> requestInputBytes() {
-    Map<String, Long> bytes = new HashMap<>();
-    for (String handle : requestInputs()) {
-      stages.stream()
-          .filter(stage -> Arrays.asList(handles[stage.index()]).contains(handle))
-          .forEach(stage -> bytes.put(handle, stage.resultBytes()));
-    }
-    return bytes;
-  }
-
   /**
    * Returns the service that made a result.
    *
--- a/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
@@ -362,7 +362,11 @@
       outcomes.forEach(outcome -> addUnused(effects, outcome));
       return effects;
     }
-    call.server.failures = 0;
+    if (now - call.startedAt > overdueNanos(call.call)) {
+      call.server.failed(now);
+    } else {
+      call.server.failures = 0;
+    }
     for (int i = 0; i < call.call.items().size(); i++) {
       StageCall.Item item = call.call.items().get(i);
       PieceOutcome outcome =
--- a/core/src/test/java/org/oriolewell/core/stage/StageQueueTest.java
+++ b/core/src/test/java/org/oriolewell/core/stage/StageQueueTest.java
@@ -139,6 +139,22 @@
         .containsExactly(PieceOutcome.failed(0, Status.FAILED));
   }
 
+  @Test
+  void upstreamThatStaysSlowIsPausedLongerEachTime() {
+    queue.upstreams(List.of(FIRST), 0);
+    long now = 0;
+    for (int call = 0; call < 3; call++) {
+      queue.add(work(call, 1, 1000, 60_000), now);
+      StageCall slow = onlyCall(now);
+      now += 900 * MILLI;
+      queue.completed(slow.id(), allDone(slow), now);
+      queue.add(work(100 + call, 1, 1000, 60_000), now);
+      assertThat(queue.nextCalls(now + (300L << call) * MILLI)).isEmpty();
+      queue.cancel("origin", 100 + call);
+      now += 3_300 * MILLI;
+    }
+  }
+
   @Test
   void resultsOfCanceledWorkAreUnused() {
     queue.upstreams(List.of(FIRST), 0);
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -216,6 +216,9 @@
 
   @Override
   public void close() {
+    if (stopping) {
+      return;
+    }
     log.event(GatewayEvent.STOPPING).with("in_flight", intake.inFlight()).write();
     stopping = true;
     long begun = loop.now();
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.overload.StageAdmission;
@@ -187,7 +186,7 @@
             requestId(),
             intent.pieceKey(),
             region,
-            chooseEngine(any -> true).map(UpstreamInstance::zone).orElse(""),
+            chooseEngine().map(UpstreamInstance::zone).orElse(""),
             rank,
             targetAt,
             giveUpAt,
@@ -254,17 +253,14 @@
     if (!engine) {
       return services.placement().leastLoaded(usable, this::distance, tried, now);
     }
-    String zone = zoneOfInputs();
-    return chooseEngine(upstream -> zone.isEmpty() || upstream.zone().equals(zone));
+    return chooseEngine();
   }
 
-  /** Returns the zone in which most of the results that the request reads are kept. */
-  private String zoneOfInputs() {
-    StageRun run = stages;
-    return run == null ? "" : run.zoneOfResults();
-  }
-
-  private Optional<UpstreamInstance> chooseEngine(Predicate<UpstreamInstance> preferred) {
+  /**
+   * Returns the engine of the region that probably keeps the prompt. Reading a shared part again
+   * costs more than the transfer of stage results from another zone of the region.
+   */
+  private Optional<UpstreamInstance> chooseEngine() {
     long now = services.loop().now();
     List<UpstreamInstance> usable = services.control().roster().usable(service);
     List<UpstreamInstance> near =
@@ -273,10 +269,10 @@
             .toList();
     long affinity = intent.affinity() == 0 ? requestId().hashCode() : intent.affinity();
     Optional<UpstreamInstance> local =
-        services.placement().byAffinity(near, preferred, affinity, tried, now);
+        services.placement().byAffinity(near, affinity, tried, now);
     return local.isPresent()
         ? local
-        : services.placement().byAffinity(usable, preferred, affinity, tried, now);
+        : services.placement().byAffinity(usable, affinity, tried, now);
   }
 
   private double distance(UpstreamInstance upstream) {
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
@@ -167,15 +167,6 @@
     }
   }
 
-  /** Returns the zone of the upstream that keeps a result, if it is listed. */
-  Optional<String> zoneOf(String service, String handle) {
-    String address = dialect.makerAddress(handle);
-    return control.roster().usable(service).stream()
-        .filter(upstream -> upstream.address().equals(address))
-        .map(UpstreamInstance::zone)
-        .findFirst();
-  }
-
   /**
    * Hands over a stage of a request.
    *
--- a/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
@@ -196,23 +196,6 @@
     }
   }
 
-  /** Returns the zone that keeps most bytes of the results that the request reads; may be empty. */
-  String zoneOfResults() {
-    Map<String, Long> bytesByZone = new HashMap<>();
-    progress
-        .requestInputBytes()
-        .forEach(
-            (handle, bytes) ->
-                services
-                    .desk()
-                    .zoneOf(progress.serviceOf(handle), handle)
-                    .ifPresent(maker -> bytesByZone.merge(maker, bytes, Long::sum)));
-    return bytesByZone.entrySet().stream()
-        .max(Map.Entry.comparingByValue())
-        .map(Map.Entry::getKey)
-        .orElse("");
-  }
-
   /** Withdraws what is in progress and frees all results. */
   void end() {
     ended = true;
--- a/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
@@ -89,9 +89,12 @@
     return System.nanoTime();
   }
 
-  /** Runs a task on the loop's thread, after what it does now. */
+  /** Runs a task on the loop's thread, after what it does now; dropped once the loop is closed. */
   public void execute(Runnable task) {
-    selectors.selector().submit(selector -> run(task));
+    ManagedSelector selector = selectors.selector();
+    if (selector != null) {
+      selector.submit(ignored -> run(task));
+    }
   }
 
   /** Runs a task at once if called on the loop's thread, else as {@link #execute}. */
@@ -226,8 +229,8 @@
       incoming.put(channel, factory);
     }
 
-    private ManagedSelector selector() {
-      return chooseSelector();
+    private @Nullable ManagedSelector selector() {
+      return isRunning() ? chooseSelector() : null;
     }
 
     @Override
