--- a/core/src/main/java/org/oriolewell/core/placement/Placement.java
+++ b/core/src/main/java/org/oriolewell/core/placement/Placement.java
@@ -83,10 +83,7 @@
    * @param excluded engines that were tried already
    */
   public Optional<UpstreamInstance> byAffinity(
-      Collection<UpstreamInstance> candidates,
-      long affinity,
-      Set<String> excluded,
-      long now) {
+      Collection<UpstreamInstance> candidates, long affinity, Set<String> excluded, long now) {
     List<UpstreamInstance> healthy = healthy(candidates, excluded, now);
     if (healthy.isEmpty()) {
       return Optional.empty();
--- a/core/src/test/java/org/oriolewell/core/placement/PlacementTest.java
+++ b/core/src/test/java/org/oriolewell/core/placement/PlacementTest.java
@@ -22,10 +22,7 @@
   private final Placement placement = Placement.of(health, new SplittableRandom(1));
 
   private String engine(long affinity) {
-    return placement
-        .byAffinity(ENGINES, affinity, Set.of(), SECOND)
-        .orElseThrow()
-        .id();
+    return placement.byAffinity(ENGINES, affinity, Set.of(), SECOND).orElseThrow().id();
   }
 
   @Test
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -268,8 +268,7 @@
             .filter(upstream -> services.regions().of(upstream.zone()).equals(region))
             .toList();
     long affinity = intent.affinity() == 0 ? requestId().hashCode() : intent.affinity();
-    Optional<UpstreamInstance> local =
-        services.placement().byAffinity(near, affinity, tried, now);
+    Optional<UpstreamInstance> local = services.placement().byAffinity(near, affinity, tried, now);
     return local.isPresent()
         ? local
         : services.placement().byAffinity(usable, affinity, tried, now);
--- a/runtime/src/main/java/org/oriolewell/runtime/program/Program.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/program/Program.java
@@ -119,6 +119,10 @@
     CountDownLatch stopped = new CountDownLatch(1);
     try {
       AutoCloseable work = starter.start(settings);
+      if (options.startAndStop) {
+        work.close();
+        return ExitCode.OK;
+      }
       if (work instanceof Reloadable reloadable && options.settings != null) {
         Path file = options.settings.toPath();
         HangupSignal.handle(() -> reload(file, reloadable));
@@ -160,6 +164,11 @@
     @Option(name = "--print-defaults", usage = "print all settings with their defaults and exit")
     boolean printDefaults;
 
+    @Option(
+        name = "--start-and-stop",
+        usage = "start, stop in order and exit; a build uses it to record the classes of a start")
+    boolean startAndStop;
+
     @Option(name = "--debug", usage = "log connections and other details")
     boolean debug;
 
