--- a/proofs/src/test/java/org/oriolewell/proofs/LogEventCatalogTest.java
+++ b/proofs/src/test/java/org/oriolewell/proofs/LogEventCatalogTest.java
@@ -24,6 +24,7 @@
           "runtime.config.ConfigEvent",
           "runtime.admin.AdminEvent",
           "entry.EntryEvent",
+          "gateway.GatewayEvent",
           "agent.AgentEvent",
           "ctl.CtlEvent",
           "standins.StandinEvent",
--- a/runtime/src/main/java/org/oriolewell/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/log/LogEvent.java
@@ -7,7 +7,7 @@
  * docs/log-events.md lists all of them, and a test compares the two.
  *
  * <p>Numbers: runtime 1xxx, entry 2xxx, agent 3xxx, configuration 4xxx, ctl 5xxx, standins 6xxx,
- * loadtool 7xxx.
+ * loadtool 7xxx, gateway 8xxx.
  */
 public interface LogEvent {
   /** Returns the number, unique across all modules. */
