--- a/core/src/main/java/org/oriolewell/core/stage/StageProgress.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageProgress.java
@@ -251,7 +251,7 @@
   }
 
   /** Returns whether a stage is left out or done. */
-  public boolean done(int index) {
+  public boolean isDone(int index) {
     return states[index] == State.DONE;
   }
 
--- a/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
@@ -389,13 +389,13 @@
       addUnused(effects, outcome);
       return;
     }
-    switch (outcome.status()) {
-      case DONE, LATE, INPUT_GONE -> finish(group, outcome, effects);
-      case NO_SPACE -> {
-        call.server.pause(now, SPACE_PAUSE);
-        retry(group, item.piece(), outcome, false, effects);
-      }
-      case FAILED -> retry(group, item.piece(), outcome, true, effects);
+    if (outcome.status() == PieceOutcome.Status.NO_SPACE) {
+      call.server.pause(now, SPACE_PAUSE);
+      retry(group, item.piece(), outcome, false, effects);
+    } else if (outcome.status() == PieceOutcome.Status.FAILED) {
+      retry(group, item.piece(), outcome, true, effects);
+    } else {
+      finish(group, outcome, effects);
     }
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -47,6 +47,9 @@
   /** Part of the fleet's retry budget that is used; windows of nodes don't begin together. */
   private static final double BUDGET_SHARE = 0.6;
 
+  /** Nodes among which the constant part of the budget is divided; zones have at most three. */
+  private static final int ASSUMED_NODES = 8;
+
   private final EventLoop loop;
   private final EventLog log;
   private final ControlPlane control;
@@ -148,9 +151,6 @@
         ratio, perSecond, burst, perSecond, burst, ratio, perSecond, burst);
   }
 
-  /** Nodes among which the constant part of the budget is divided. */
-  private static final int ASSUMED_NODES = 8;
-
   private EventLoop.Listener listen(String address, CallerConnection.Handler handler)
       throws IOException {
     return loop.listen(
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -294,6 +294,19 @@
     if (sends == 1) {
       services.budget().attempted(service);
     }
+    services
+        .log()
+        .event(GatewayEvent.UPSTREAM_CHOSEN)
+        .with("request", requestId())
+        .with("attempt", sends)
+        .with("upstream", upstream.id())
+        .with("address", upstream.address())
+        .with("zone", upstream.zone())
+        .with("in_flight", services.health().inFlight(upstream.id()))
+        .with("failures", services.health().level(upstream.id(), now))
+        .with("resume_after", resumeAfter)
+        .with("remaining_ms", remaining.toMillis())
+        .write();
     Additions additions =
         new Additions(
             remaining,
@@ -311,19 +324,6 @@
             headers,
             exchange.request().body(),
             intent.attemptId());
-    services
-        .log()
-        .event(GatewayEvent.UPSTREAM_CHOSEN)
-        .with("request", requestId())
-        .with("attempt", sends)
-        .with("upstream", upstream.id())
-        .with("address", upstream.address())
-        .with("zone", upstream.zone())
-        .with("in_flight", services.health().inFlight(upstream.id()))
-        .with("failures", services.health().level(upstream.id(), now))
-        .with("resume_after", resumeAfter)
-        .with("remaining_ms", remaining.toMillis())
-        .write();
     UpstreamAttempt started =
         new UpstreamAttempt(services, route, requestId(), upstream, stream, this);
     attempt = started;
--- a/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
@@ -74,7 +74,7 @@
   /** Begins with the first stages and announces the others. */
   void begin() {
     for (StageSpec stage : route.stages()) {
-      if (!stage.after().isEmpty() && !progress.done(stage.index())) {
+      if (!stage.after().isEmpty() && !progress.isDone(stage.index())) {
         announced.put(stage.index(), services.desk().announce(stage, region, rank, progress));
       }
     }
@@ -163,7 +163,7 @@
       return;
     }
     progress.done(stage.index(), outcome.piece(), handle);
-    if (progress.done(stage.index())) {
+    if (progress.isDone(stage.index())) {
       tickets.remove(stage.index());
       logEnd(stage, sentAt, "DONE");
       releaseConsumed();
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
@@ -176,7 +176,7 @@
   }
 
   private void finish() {
-    UpstreamListener done = listener;
+    final UpstreamListener done = listener;
     listener = null;
     answered = false;
     boolean reusable =
--- a/runtime/src/main/java/org/oriolewell/runtime/log/LogOutput.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/log/LogOutput.java
@@ -34,23 +34,6 @@
     install(level, new ConsoleHandler());
   }
 
-  /**
-   * Installs the standard output stream as the output of the whole process. Lines are written on a
-   * thread of their own and dropped, with a count, while the reader of the stream stalls.
-   */
-  public static void installQueued(Level level) {
-    PrintStream output =
-        new PrintStream(new FileOutputStream(FileDescriptor.out), false, StandardCharsets.UTF_8);
-    install(level, QueuedLogHandler.start(output));
-  }
-
-  /** Writes the lines that wait, before the process ends. */
-  public static void flush() {
-    for (Handler handler : Logger.getLogger("").getHandlers()) {
-      handler.flush();
-    }
-  }
-
   private static void install(Level level, Handler handler) {
     LogManager.getLogManager().reset();
     handler.setLevel(level);
@@ -67,4 +50,21 @@
     Logger.getLogger("org.eclipse.jetty").setLevel(Level.WARNING);
     ShutdownLogManager.keepHandlers();
   }
+
+  /**
+   * Installs the standard output stream as the output of the whole process. Lines are written on a
+   * thread of their own and dropped, with a count, while the reader of the stream stalls.
+   */
+  public static void installQueued(Level level) {
+    PrintStream output =
+        new PrintStream(new FileOutputStream(FileDescriptor.out), false, StandardCharsets.UTF_8);
+    install(level, QueuedLogHandler.start(output));
+  }
+
+  /** Writes the lines that wait, before the process ends. */
+  public static void flush() {
+    for (Handler handler : Logger.getLogger("").getHandlers()) {
+      handler.flush();
+    }
+  }
 }
