Split admission off the request flow, let announcements lapse, drop unused code

An announcement stayed for ever at a dispatcher that had lost its place before the work was handed over, and made every later forecast there too long (StageQueueTest.announcementLapsesIfItsWorkWentToAnotherDispatcher).

--- a/core/src/main/java/org/oriolewell/core/placement/UpstreamHealth.java
+++ b/core/src/main/java/org/oriolewell/core/placement/UpstreamHealth.java
@@ -93,12 +93,4 @@
   public boolean avoided(String id, long now) {
     return level(id, now) >= AVOID_LEVEL;
   }
-
-  /** Forgets an upstream that is gone and has no call in flight. */
-  public void forgetIdle(String id) {
-    Seen seen = byId.get(id);
-    if (seen != null && seen.inFlight == 0) {
-      byId.remove(id);
-    }
-  }
 }
--- a/core/src/main/java/org/oriolewell/core/roster/UpstreamRoster.java
+++ b/core/src/main/java/org/oriolewell/core/roster/UpstreamRoster.java
@@ -114,13 +114,6 @@
     return Optional.ofNullable(instance == null ? lapsed.get(id) : instance);
   }
 
-  /** Returns whether new work may be sent to this start of an upstream. */
-  public boolean mayReceive(UpstreamInstance instance) {
-    return find(instance.id())
-        .filter(known -> known.sameStart(instance) && !known.draining())
-        .isPresent();
-  }
-
   private void index() {
     Map<String, List<UpstreamInstance>> index = new HashMap<>();
     List<UpstreamInstance> all = new ArrayList<>(listed.values());
--- a/core/src/main/java/org/oriolewell/core/route/ServiceSpec.java
+++ b/core/src/main/java/org/oriolewell/core/route/ServiceSpec.java
@@ -6,9 +6,7 @@
  * A service of the configuration.
  *
  * @param name name of the service
- * @param maxConnections connections that one upstream accepts from all callers together
  * @param stages capacity of its upstreams for stages; null if it runs none
  * @param engine whether its upstreams are model engines
  */
-public record ServiceSpec(
-    String name, int maxConnections, @Nullable StageService stages, boolean engine) {}
+public record ServiceSpec(String name, @Nullable StageService stages, boolean engine) {}
--- a/core/src/main/java/org/oriolewell/core/stage/StageProgress.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageProgress.java
@@ -240,16 +240,6 @@
     return true;
   }
 
-  /** Returns whether any stage was started. */
-  public boolean begun() {
-    for (int i = 0; i < states.length; i++) {
-      if (pieces[i] > 0 && states[i] != State.WAITING) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** Returns whether a stage is left out or done. */
   public boolean isDone(int index) {
     return states[index] == State.DONE;
--- a/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
@@ -9,7 +9,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -54,6 +53,9 @@
    */
   private static final Duration ZONE_PATIENCE = Duration.ofMillis(60);
 
+  /** Time after which an announcement lapses; longer than the stages before it may take. */
+  private static final Duration ANNOUNCED_TIME = Duration.ofSeconds(4);
+
   /** Space is scarce if the results of a full call take more than this share of it. */
   private static final double SCARCE_SPACE = 0.5;
 
@@ -95,7 +97,7 @@
     }
   }
 
-  private record Announced(int rank, long resultBytes, int pieces) {}
+  private record Announced(int rank, long resultBytes, int pieces, long lapsesAt) {}
 
   /** What a change of the queue leads to. */
   public static final class Effects {
@@ -210,10 +212,14 @@
 
   /**
    * Records work whose inputs are still being made, so that it counts as load. It ends with the
-   * work of the same ticket, or is withdrawn.
+   * work of the same ticket, is withdrawn, or lapses: its origin may have handed it to another
+   * dispatcher meanwhile.
    */
-  public void announce(String origin, long ticket, int rank, long resultBytes, int pieces) {
-    announced.put(new WorkId(origin, ticket), new Announced(rank, resultBytes, pieces));
+  public void announce(
+      String origin, long ticket, int rank, long resultBytes, int pieces, long now) {
+    announced.put(
+        new WorkId(origin, ticket),
+        new Announced(rank, resultBytes, pieces, now + ANNOUNCED_TIME.toNanos()));
   }
 
   /** Withdraws work that nobody waits for; results that still arrive become unused. */
@@ -523,14 +529,6 @@
     }
   }
 
-  /** Returns the upstream that keeps a result, if it is known. */
-  public Optional<UpstreamInstance> keeper(String handle) {
-    return servers.values().stream()
-        .filter(server -> server.results.containsKey(handle))
-        .map(server -> server.instance)
-        .findFirst();
-  }
-
   /** Returns the load as other processes see it. */
   public StageLoad load(long now) {
     TreeMap<Integer, Double> waiting = new TreeMap<>();
@@ -542,6 +540,7 @@
         waiting.merge(late ? StageLoad.LATE_RANK : group.work.rank(), share, Double::sum);
       }
     }
+    announced.values().removeIf(work -> now >= work.lapsesAt());
     for (Announced work : announced.values()) {
       coming.merge(work.rank(), work.pieces() * shareOfCall(work.resultBytes()), Double::sum);
     }
--- a/core/src/test/java/org/oriolewell/core/roster/RosterTest.java
+++ b/core/src/test/java/org/oriolewell/core/roster/RosterTest.java
@@ -23,7 +23,6 @@
     roster.announced(instance("a", 1, true));
 
     assertThat(roster.usable("engine")).isEmpty();
-    assertThat(roster.mayReceive(instance("a", 1, false))).isFalse();
   }
 
   @Test
@@ -62,8 +61,7 @@
     roster.announced(instance("a", 1, false));
     roster.announced(instance("a", 2, false));
 
-    assertThat(roster.mayReceive(instance("a", 1, false))).isFalse();
-    assertThat(roster.mayReceive(instance("a", 2, false))).isTrue();
+    assertThat(roster.usable("engine")).containsExactly(instance("a", 2, false));
   }
 
   @Test
--- a/core/src/test/java/org/oriolewell/core/stage/StageQueueTest.java
+++ b/core/src/test/java/org/oriolewell/core/stage/StageQueueTest.java
@@ -221,7 +221,7 @@
   @Test
   void announcedWorkCountsAsLoadForLaterHandOver() {
     queue.upstreams(List.of(FIRST), 0);
-    queue.announce("origin", 9, 1, 1000, 14);
+    queue.announce("origin", 9, 1, 1000, 14, 0);
 
     StageLoad load = queue.load(0);
 
@@ -231,6 +231,15 @@
     assertThat(queue.load(0).expectedMillis(1, 100)).isEqualTo(276);
   }
 
+  @Test
+  void announcementLapsesIfItsWorkWentToAnotherDispatcher() {
+    queue.upstreams(List.of(FIRST), 0);
+    queue.announce("origin", 9, 1, 1000, 14, 0);
+
+    assertThat(queue.load(3_900 * MILLI).expectedMillis(1, 100)).isGreaterThan(276);
+    assertThat(queue.load(4_000 * MILLI).expectedMillis(1, 100)).isEqualTo(276);
+  }
+
   @Test
   void loadWithoutUpstreamIsInfinite() {
     assertThat(queue.load(0).expectedMillis(0, 0)).isInfinite();
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -8,9 +8,7 @@
 import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
-import org.oriolewell.core.overload.StageAdmission;
 import org.oriolewell.core.overload.StageAdmission.Decision;
-import org.oriolewell.core.overload.StageAdmission.Estimate;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.RequestKind;
 import org.oriolewell.core.route.Route;
@@ -130,26 +128,9 @@
   private void admit() {
     int[] pieces = intent.pieces().stream().mapToInt(Integer::intValue).toArray();
     StageProgress progress = StageProgress.of(route.stages(), pieces);
-    List<Estimate> estimates = new ArrayList<>();
-    for (String candidate : services.regions().all()) {
-      boolean engines =
-          services.control().roster().usable(service).stream()
-              .anyMatch(engine -> services.regions().of(engine.zone()).equals(candidate));
-      estimates.add(
-          new Estimate(
-              candidate,
-              candidate.equals(region),
-              engines ? forecast(progress, candidate, rank) : Double.POSITIVE_INFINITY,
-              engines
-                  ? forecast(progress, candidate, StageLoad.LATE_RANK)
-                  : Double.POSITIVE_INFINITY));
-    }
-    long now = services.loop().now();
     Decision decision =
-        StageAdmission.decide(
-            estimates, Services.millis(now, targetAt), Services.millis(now, giveUpAt));
+        new RequestAdmission(services, route, service, rank).decide(progress, targetAt, giveUpAt);
     if (decision instanceof Decision.Refuse refuse) {
-      services.bias().refused(route.name());
       refuse(
           "stages would take " + (long) Math.min(refuse.expectedMillis(), 1e6) + " ms",
           "overload",
@@ -167,17 +148,6 @@
     }
   }
 
-  private double forecast(StageProgress progress, String candidate, int workRank) {
-    return progress.remainingMillis(
-            (stage, offset) ->
-                services
-                    .desk()
-                    .expectedMillis(
-                        route.stages().get(stage).service(), candidate, workRank, offset))
-        + services.firstByteTimes().expectedMillis(route.name())
-        + services.bias().millis(route.name());
-  }
-
   private void runStages(StageProgress progress) {
     StageRun run =
         new StageRun(
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -79,7 +79,7 @@
 
   /** Records work whose inputs are still being made. */
   void announce(String origin, long ticket, int rank, long resultBytes, int pieces) {
-    queue.announce(origin, ticket, rank, resultBytes, pieces);
+    queue.announce(origin, ticket, rank, resultBytes, pieces, loop.now());
   }
 
   /** Withdraws work. */
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
@@ -21,8 +21,6 @@
   private final Executor executor;
   private final String answerIdHeader;
   private final Map<String, Pool> pools = new HashMap<>();
-  private long opened;
-  private long reused;
 
   /** A request in progress. */
   interface Call {
@@ -91,7 +89,6 @@
     Pool pool = pools.computeIfAbsent(peer, p -> new Pool());
     UpstreamConnection kept = pool.take(loop.now());
     if (kept != null) {
-      reused++;
       kept.send(request, listener);
       return kept::close;
     }
@@ -100,7 +97,6 @@
 
   private Call open(Pool pool, String address, UpstreamRequest request, UpstreamListener listener) {
     Opening opening = new Opening(request, listener);
-    opened++;
     loop.connect(
         parse(address),
         endPoint -> {
@@ -167,14 +163,4 @@
     pools.values().forEach(pool -> pool.closeStale(now));
     pools.values().removeIf(pool -> pool.open <= 0 && pool.idle.isEmpty());
   }
-
-  /** Returns the connections opened since the start. */
-  long opened() {
-    return opened;
-  }
-
-  /** Returns the requests sent over kept connections since the start. */
-  long reused() {
-    return reused;
-  }
 }
