--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.overload.StageAdmission;
@@ -97,9 +96,7 @@
     this.startedAt = exchange.request().receivedAt();
     Duration patience = intent.patience();
     Duration waited =
-        patience == null
-            ? Duration.ZERO
-            : services.patience().waitedBefore(route.name(), patience);
+        patience == null ? Duration.ZERO : services.patience().waitedBefore(route.name(), patience);
     this.targetAt = startedAt + route.latencyTarget().minus(waited).toNanos();
     Duration limit =
         patience != null && patience.compareTo(route.timeout()) < 0 ? patience : route.timeout();
@@ -164,7 +161,8 @@
       } else {
         forecastMillis = accept.expectedMillis() - services.bias().millis(route.name());
       }
-      logRouted(accept.late() ? "late, behind other work" : "in time", (long) accept.expectedMillis());
+      logRouted(
+          accept.late() ? "late, behind other work" : "in time", (long) accept.expectedMillis());
       runStages(progress);
     }
   }
@@ -188,7 +186,7 @@
             requestId(),
             intent.pieceKey(),
             region,
-            chooseEngine(any -> true).map(UpstreamInstance::zone).orElse(""),
+            chooseEngine().map(UpstreamInstance::zone).orElse(""),
             rank,
             targetAt,
             giveUpAt,
@@ -255,17 +253,14 @@
     if (!engine) {
       return services.placement().leastLoaded(usable, this::distance, tried, now);
     }
-    String zone = zoneOfInputs();
-    return chooseEngine(upstream -> zone.isEmpty() || upstream.zone().equals(zone));
+    return chooseEngine();
   }
 
-  /** Returns the zone in which most of the results that the request reads are kept. */
-  private String zoneOfInputs() {
-    StageRun run = stages;
-    return run == null ? "" : run.zoneOfResults();
-  }
-
-  private Optional<UpstreamInstance> chooseEngine(Predicate<UpstreamInstance> preferred) {
+  /**
+   * Returns the engine of the region that probably keeps the prompt. Reading a shared part again
+   * costs more than the transfer of stage results from another zone of the region.
+   */
+  private Optional<UpstreamInstance> chooseEngine() {
     long now = services.loop().now();
     List<UpstreamInstance> usable = services.control().roster().usable(service);
     List<UpstreamInstance> near =
@@ -273,11 +268,10 @@
             .filter(upstream -> services.regions().of(upstream.zone()).equals(region))
             .toList();
     long affinity = intent.affinity() == 0 ? requestId().hashCode() : intent.affinity();
-    Optional<UpstreamInstance> local =
-        services.placement().byAffinity(near, preferred, affinity, tried, now);
+    Optional<UpstreamInstance> local = services.placement().byAffinity(near, affinity, tried, now);
     return local.isPresent()
         ? local
-        : services.placement().byAffinity(usable, preferred, affinity, tried, now);
+        : services.placement().byAffinity(usable, affinity, tried, now);
   }
 
   private double distance(UpstreamInstance upstream) {
@@ -300,6 +294,19 @@
     if (sends == 1) {
       services.budget().attempted(service);
     }
+    services
+        .log()
+        .event(GatewayEvent.UPSTREAM_CHOSEN)
+        .with("request", requestId())
+        .with("attempt", sends)
+        .with("upstream", upstream.id())
+        .with("address", upstream.address())
+        .with("zone", upstream.zone())
+        .with("in_flight", services.health().inFlight(upstream.id()))
+        .with("failures", services.health().level(upstream.id(), now))
+        .with("resume_after", resumeAfter)
+        .with("remaining_ms", remaining.toMillis())
+        .write();
     Additions additions =
         new Additions(
             remaining,
@@ -317,19 +324,6 @@
             headers,
             exchange.request().body(),
             intent.attemptId());
-    services
-        .log()
-        .event(GatewayEvent.UPSTREAM_CHOSEN)
-        .with("request", requestId())
-        .with("attempt", sends)
-        .with("upstream", upstream.id())
-        .with("address", upstream.address())
-        .with("zone", upstream.zone())
-        .with("in_flight", services.health().inFlight(upstream.id()))
-        .with("failures", services.health().level(upstream.id(), now))
-        .with("resume_after", resumeAfter)
-        .with("remaining_ms", remaining.toMillis())
-        .write();
     UpstreamAttempt started =
         new UpstreamAttempt(services, route, requestId(), upstream, stream, this);
     attempt = started;
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
@@ -167,15 +167,6 @@
     }
   }
 
-  /** Returns the zone of the upstream that keeps a result, if it is listed. */
-  Optional<String> zoneOf(String service, String handle) {
-    String address = dialect.makerAddress(handle);
-    return control.roster().usable(service).stream()
-        .filter(upstream -> upstream.address().equals(address))
-        .map(UpstreamInstance::zone)
-        .findFirst();
-  }
-
   /**
    * Hands over a stage of a request.
    *
@@ -345,15 +336,10 @@
         dispatcher.submit(work(origin, submit));
       }
     } else if (message instanceof Message.StageAnnounce announce) {
-      StageDispatcher dispatcher =
-          dispatcher(new Place(announce.service(), announce.region()));
+      StageDispatcher dispatcher = dispatcher(new Place(announce.service(), announce.region()));
       if (dispatcher != null) {
         dispatcher.announce(
-            origin,
-            announce.ticket(),
-            announce.rank(),
-            announce.resultBytes(),
-            announce.pieces());
+            origin, announce.ticket(), announce.rank(), announce.resultBytes(), announce.pieces());
       }
     } else if (message instanceof Message.StageCancel cancel) {
       StageDispatcher dispatcher = dispatchers.get(new Place(cancel.service(), cancel.region()));
--- a/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
@@ -74,7 +74,7 @@
   /** Begins with the first stages and announces the others. */
   void begin() {
     for (StageSpec stage : route.stages()) {
-      if (!stage.after().isEmpty() && !progress.done(stage.index())) {
+      if (!stage.after().isEmpty() && !progress.isDone(stage.index())) {
         announced.put(stage.index(), services.desk().announce(stage, region, rank, progress));
       }
     }
@@ -163,7 +163,7 @@
       return;
     }
     progress.done(stage.index(), outcome.piece(), handle);
-    if (progress.done(stage.index())) {
+    if (progress.isDone(stage.index())) {
       tickets.remove(stage.index());
       logEnd(stage, sentAt, "DONE");
       releaseConsumed();
@@ -196,23 +196,6 @@
     }
   }
 
-  /** Returns the zone that keeps most bytes of the results that the request reads; may be empty. */
-  String zoneOfResults() {
-    Map<String, Long> bytesByZone = new HashMap<>();
-    progress
-        .requestInputBytes()
-        .forEach(
-            (handle, bytes) ->
-                services
-                    .desk()
-                    .zoneOf(progress.serviceOf(handle), handle)
-                    .ifPresent(maker -> bytesByZone.merge(maker, bytes, Long::sum)));
-    return bytesByZone.entrySet().stream()
-        .max(Map.Entry.comparingByValue())
-        .map(Map.Entry::getKey)
-        .orElse("");
-  }
-
   /** Withdraws what is in progress and frees all results. */
   void end() {
     ended = true;
@@ -220,9 +203,7 @@
     tickets.clear();
     announced.forEach(
         (stage, ticket) ->
-            services
-                .desk()
-                .withdraw(ticket, route.stages().get(stage).service(), region));
+            services.desk().withdraw(ticket, route.stages().get(stage).service(), region));
     announced.clear();
     release(progress.takeAll());
   }
