--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -44,7 +44,7 @@
   /** Cost of another region for a plain service; its bytes are paid for. */
   private static final double OTHER_REGION = 1.5;
 
-  /** Most urgent rank that an engine knows apart from the least urgent one. */
+  /** Least urgent rank that an engine knows. */
   private static final int MAX_ENGINE_RANK = 9;
 
   private static final byte[] EMPTY = new byte[0];
