Run stages where the results that they read lie

Cause: half of the bytes that stages and engines read crossed zones.

Change: a stage prefers the zone with most of the bytes that it reads, or that of its reader if that moves more, and no zone if it moves little. The wait for a free upstream there is 200 ms instead of 60 ms, and ends when the work would begin too late. The test of the wait follows the new figure; a second one holds its end.

--- a/core/src/main/java/org/oriolewell/core/stage/StageProgress.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageProgress.java
@@ -245,6 +245,16 @@
     return states[index] == State.DONE;
   }
 
+  /** Returns the handles of a stage's results; none if they were freed or are not all made. */
+  public List<String> handles(int index) {
+    return isDone(index) ? List.of(handles[index]) : List.of();
+  }
+
+  /** Returns whether the request itself reads a stage's results, and no other stage does. */
+  public boolean readByRequest(int index) {
+    return stages.stream().noneMatch(stage -> stage.after().contains(index));
+  }
+
   /** Returns the handles that a stage reads, by stage and piece. */
   public List<String> inputs(StageSpec stage) {
     List<String> inputs = new ArrayList<>();
--- a/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
@@ -48,10 +48,11 @@
   private static final Duration MAX_PAUSE = Duration.ofMillis(3200);
 
   /**
-   * Wait for an upstream in the reader's zone before any other is taken. Results that cross zones
-   * are paid for; the wait is short against the fixed time of a call.
+   * Wait for an upstream in the preferred zone before any other is taken, unless the work would
+   * begin too late to be on time. Bytes that cross zones are paid for; about one call ends within
+   * this time.
    */
-  private static final Duration ZONE_PATIENCE = Duration.ofMillis(60);
+  private static final Duration ZONE_PATIENCE = Duration.ofMillis(200);
 
   /** Time after which an announcement lapses; longer than the stages before it may take. */
   private static final Duration ANNOUNCED_TIME = Duration.ofSeconds(4);
@@ -308,10 +309,11 @@
     return call;
   }
 
-  /** Returns whether work may run here: in its reader's zone, or elsewhere after a short wait. */
+  /** Returns whether work may run here: in its preferred zone, or elsewhere after a short wait. */
   private boolean mayRunAt(Server server, Group group, long now) {
     return near(server, group)
         || now - group.addedAt >= ZONE_PATIENCE.toNanos()
+        || now >= group.work.latestStart()
         || servers.values().stream()
             .noneMatch(other -> near(other, group) && now >= other.pausedUntil);
   }
--- a/core/src/main/java/org/oriolewell/core/stage/StageWork.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageWork.java
@@ -10,7 +10,7 @@
  * @param requestId identifier of the request
  * @param stage index of the stage
  * @param service service that runs the stage
- * @param zone availability zone of the upstream that will read the results; empty for none
+ * @param zone availability zone in which the work should run; empty for none
  * @param rank urgency, the lowest first
  * @param latestStart last moment at which the work can begin if the request is to be on time,
  *     monotonic nanoseconds
--- a/core/src/test/java/org/oriolewell/core/stage/StageQueueTest.java
+++ b/core/src/test/java/org/oriolewell/core/stage/StageQueueTest.java
@@ -194,14 +194,25 @@
   }
 
   @Test
-  void workWaitsShortlyForUpstreamInReadersZone() {
+  void workWaitsShortlyForUpstreamInPreferredZone() {
     queue.upstreams(List.of(FIRST, SECOND), 0);
     queue.add(work(1, 7, 1000, 500, "zone-b"), 0);
     queue.add(work(2, 7, 1000, 600, "zone-b"), 0);
 
     assertThat(onlyCall(0).upstream()).isEqualTo(SECOND);
-    assertThat(queue.nextCalls(30 * MILLI)).isEmpty();
-    assertThat(onlyCall(60 * MILLI).upstream()).isEqualTo(FIRST);
+    assertThat(queue.nextCalls(199 * MILLI)).isEmpty();
+    assertThat(onlyCall(200 * MILLI).upstream()).isEqualTo(FIRST);
+  }
+
+  @Test
+  void workThatCannotWaitLeavesItsZone() {
+    queue.upstreams(List.of(FIRST, SECOND), 0);
+    queue.add(work(1, 7, 1000, 40, "zone-b"), 0);
+    queue.add(work(2, 7, 1000, 40, "zone-b"), 0);
+
+    assertThat(onlyCall(0).upstream()).isEqualTo(SECOND);
+    assertThat(queue.nextCalls(39 * MILLI)).isEmpty();
+    assertThat(onlyCall(40 * MILLI).upstream()).isEqualTo(FIRST);
   }
 
   @Test
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
@@ -245,6 +245,16 @@
     }
   }
 
+  /** Returns the availability zone of the upstream that made a result; empty if it is gone. */
+  String makerZone(String service, String handle) {
+    String address = dialect.makerAddress(handle);
+    return control.roster().usable(service).stream()
+        .filter(upstream -> upstream.address().equals(address))
+        .findFirst()
+        .map(UpstreamInstance::zone)
+        .orElse("");
+  }
+
   /** Frees results of a service. */
   void release(String service, String region, List<String> handles) {
     if (handles.isEmpty()) {
--- a/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
@@ -10,6 +10,7 @@
 import org.oriolewell.core.stage.PieceOutcome;
 import org.oriolewell.core.stage.StageProgress;
 import org.oriolewell.core.stage.StageWork;
+import org.oriolewell.core.stage.StageZone;
 
 /** Runs the stages of one request in one region. Used on the event loop only. */
 final class StageRun {
@@ -116,7 +117,7 @@
             requestId,
             stage.index(),
             stage.service(),
-            zone,
+            zoneOf(stage),
             rank,
             targetAt - afterNanos - callNanos,
             giveUpAt,
@@ -131,6 +132,7 @@
         .with("stage", stage.index())
         .with("service", stage.service())
         .with("region", region)
+        .with("zone", work.zone())
         .with("pieces", work.pieces().size())
         .with("expected_ms", (long) Math.min(expectedMillis(stage.index(), 0), 1e6))
         .with("slack_ms", Services.millis(now, work.latestStart()))
@@ -148,6 +150,21 @@
     announced.remove(stage.index());
   }
 
+  private String zoneOf(StageSpec stage) {
+    int pieces = progress.missingPieces(stage.index()).size();
+    Map<String, Long> readByZone = new HashMap<>();
+    for (int before : stage.after()) {
+      StageSpec maker = route.stages().get(before);
+      for (String handle : progress.handles(before)) {
+        String makerZone = services.desk().makerZone(maker.service(), handle);
+        readByZone.merge(makerZone, maker.resultBytes() * pieces, Long::sum);
+      }
+    }
+    readByZone.remove("");
+    String reader = progress.readByRequest(stage.index()) ? zone : "";
+    return StageZone.choose(readByZone, reader, stage.resultBytes() * pieces);
+  }
+
   private void pieceEnded(StageSpec stage, PieceOutcome outcome, long sentAt) {
     String handle = outcome.handle();
     if (ended) {
