Free an engine's inputs 60 ms after the request was sent

Change: the last attempt of a request frees its inputs 60 ms after it was sent, if the engine is in the region of its stages; an attempt that may be followed by another one keeps them until the first byte as before.

Test: GatewayTest#inputsOfTheLastAttemptAreFreedBeforeItsFirstByte; with the timer removed it fails.

--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -44,6 +44,13 @@
   /** Cost of another region for a plain service; its bytes are paid for. */
   private static final double OTHER_REGION = 1.5;
 
+  /**
+   * Time after which an engine of the region has read a request's inputs: it reads them before the
+   * prompt, and the largest take about 10 ms. They are freed then unless another attempt may need
+   * them, since the space of results limits the stages; the first byte comes 120 ms later or more.
+   */
+  private static final Duration INPUTS_READ = Duration.ofMillis(60);
+
   /** Least urgent rank that an engine knows. */
   private static final int MAX_ENGINE_RANK = 9;
 
@@ -311,6 +318,14 @@
         : route.latencyTarget().dividedBy(2).plus(route.gapTarget().multipliedBy(2));
   }
 
+  @Override
+  public void onSent(UpstreamInstance upstream) {
+    boolean near = services.regions().of(upstream.zone()).equals(region);
+    if (!inputs.isEmpty() && near && sends >= route.maxAttempts()) {
+      timers.add(services.loop().after(INPUTS_READ, this::releaseStages));
+    }
+  }
+
   @Override
   public void onFirstByte() {
     long now = services.loop().now();
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -33,6 +33,9 @@
 
   /** Receives the outcome. One of the methods that end the attempt is called, once. */
   interface Listener {
+    /** Called when the request is on its way to the upstream. */
+    void onSent(UpstreamInstance upstream);
+
     /** Called at the first byte of a good answer. */
     void onFirstByte();
 
@@ -164,6 +167,13 @@
     }
   }
 
+  @Override
+  public void onSent() {
+    if (!ended) {
+      listener.onSent(upstream);
+    }
+  }
+
   @Override
   public void onHead(int answerStatus, HttpFields answerHeaders) {
     if (ended) {
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
@@ -121,7 +121,9 @@
         output.write(
             HttpText.requestHead(request.method(), request.target(), head),
             ByteBuffer.wrap(request.body()));
-    if (!queued) {
+    if (queued) {
+      answerListener.onSent();
+    } else {
       loop.execute(() -> fail(new IOException("the upstream does not read")));
     }
   }
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamListener.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamListener.java
@@ -5,6 +5,9 @@
 /** Receives the answer to an {@link UpstreamRequest}, on the event loop. */
 interface UpstreamListener {
 
+  /** Called when the request is handed to an open connection. */
+  default void onSent() {}
+
   /** Called when the head of the answer was read. */
   void onHead(int status, HttpFields headers);
 
