End a gateway that can't load its classes; divide the retry budget by the gateways that are there

A gateway whose jar was replaced went on to accept connections and answered none. The event loop now reports errors of linkage and of the virtual machine, and the gateway ends itself so that it is started again.

--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -16,13 +16,14 @@
 import org.oriolewell.core.overload.ForecastBias;
 import org.oriolewell.core.placement.Placement;
 import org.oriolewell.core.placement.UpstreamHealth;
-import org.oriolewell.core.retry.RetryBudget;
-import org.oriolewell.core.retry.RetryBudgetSettings;
+import org.oriolewell.core.retry.SharedRetryBudget;
 import org.oriolewell.core.route.CallerLimits;
 import org.oriolewell.core.route.RouteTable;
 import org.oriolewell.gateway.ControlFeed.Peer;
 import org.oriolewell.runtime.log.EventLog;
+import org.oriolewell.runtime.log.LogOutput;
 import org.oriolewell.runtime.net.EventLoop;
+import org.oriolewell.runtime.program.ExitCode;
 import org.oriolewell.runtime.program.Program;
 import org.oriolewell.runtime.settings.Settings;
 
@@ -44,12 +45,6 @@
   private static final Duration STOP_CHECK = Duration.ofMillis(50);
   private static final Duration SWEEP = Duration.ofMillis(500);
 
-  /** Part of the fleet's retry budget that is used; windows of nodes don't begin together. */
-  private static final double BUDGET_SHARE = 0.6;
-
-  /** Nodes among which the constant part of the budget is divided; zones have at most three. */
-  private static final int ASSUMED_NODES = 8;
-
   private final EventLoop loop;
   private final EventLog log;
   private final ControlPlane control;
@@ -67,7 +62,7 @@
   private Gateway(Settings settings, PlatformAdapter platform, InstantSource clock)
       throws IOException {
     log = EventLog.of("gateway", clock);
-    loop = EventLoop.start("gateway", log, CONNECT_TIMEOUT);
+    loop = EventLoop.start("gateway", log, CONNECT_TIMEOUT, Gateway::endProcess);
     Regions regions = Regions.parse(settings.value(GatewaySettings.ZONES));
     RequestDialect dialect = platform.requests();
     client = UpstreamClient.create(loop, dialect.attemptHeader());
@@ -105,7 +100,11 @@
             FirstByteTimes.create(),
             ForecastBias.create(),
             CallerPatience.create(),
-            RetryBudget.create(budget(settings)),
+            SharedRetryBudget.create(
+                settings.value(GatewaySettings.RETRY_RATIO),
+                settings.value(GatewaySettings.RETRY_SLACK),
+                Duration.ofSeconds(settings.value(GatewaySettings.RETRY_WINDOW)),
+                () -> control.peers().size() + 1),
             metrics,
             log);
     intake = new RequestIntake(services);
@@ -141,14 +140,10 @@
     return new Gateway(settings, platform, clock);
   }
 
-  /** Returns this node's share of the fleet's budget of second attempts. */
-  private static RetryBudgetSettings budget(Settings settings) {
-    double ratio = settings.value(GatewaySettings.RETRY_RATIO) * BUDGET_SHARE;
-    double slack = settings.value(GatewaySettings.RETRY_SLACK) * BUDGET_SHARE;
-    double burst = Math.max(1, slack / ASSUMED_NODES);
-    double perSecond = burst / settings.value(GatewaySettings.RETRY_WINDOW);
-    return new RetryBudgetSettings(
-        ratio, perSecond, burst, perSecond, burst, ratio, perSecond, burst);
+  /** Ends the process at once; its supervisor starts it again with classes that can be loaded. */
+  private static void endProcess(Error cause) {
+    LogOutput.flush();
+    Runtime.getRuntime().halt(ExitCode.FAILED);
   }
 
   private EventLoop.Listener listen(String address, CallerConnection.Handler handler)
--- a/gateway/src/main/java/org/oriolewell/gateway/Services.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Services.java
@@ -6,7 +6,7 @@
 import org.oriolewell.core.overload.ForecastBias;
 import org.oriolewell.core.placement.Placement;
 import org.oriolewell.core.placement.UpstreamHealth;
-import org.oriolewell.core.retry.RetryBudget;
+import org.oriolewell.core.retry.SharedRetryBudget;
 import org.oriolewell.runtime.log.EventLog;
 import org.oriolewell.runtime.net.EventLoop;
 
@@ -40,7 +40,7 @@
     FirstByteTimes firstByteTimes,
     ForecastBias bias,
     CallerPatience patience,
-    RetryBudget budget,
+    SharedRetryBudget budget,
     GatewayMetrics metrics,
     EventLog log) {
 
--- a/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
@@ -57,10 +57,12 @@
   private final Scheduler scheduler = new ScheduledExecutorScheduler("timer", true);
   private final Selectors selectors;
   private final EventLog log;
+  private final Consumer<Error> onFatal;
   private volatile @Nullable Thread owner;
 
-  private EventLoop(String name, EventLog log, Duration connectTimeout) {
+  private EventLoop(String name, EventLog log, Duration connectTimeout, Consumer<Error> onFatal) {
     this.log = log;
+    this.onFatal = onFatal;
     threads.setName(name);
     threads.setDaemon(true);
     selectors = new Selectors();
@@ -71,9 +73,13 @@
    * Starts a loop.
    *
    * @param connectTimeout longest time to open a connection
+   * @param onFatal hears of an error after which no task can be trusted to run: a class that can't
+   *     be loaded, or a failure of the virtual machine. The process should end, since it would go
+   *     on to accept connections and answer none.
    */
-  public static EventLoop start(String name, EventLog log, Duration connectTimeout) {
-    EventLoop loop = new EventLoop(name, log, connectTimeout);
+  public static EventLoop start(
+      String name, EventLog log, Duration connectTimeout, Consumer<Error> onFatal) {
+    EventLoop loop = new EventLoop(name, log, connectTimeout, onFatal);
     try {
       loop.threads.start();
       loop.scheduler.start();
@@ -156,6 +162,9 @@
           .with("at", trace.length == 0 ? null : trace[0])
           .cause(e)
           .write();
+      if (e instanceof LinkageError || e instanceof VirtualMachineError) {
+        onFatal.accept((Error) e);
+      }
     }
   }
 
--- /dev/null
+++ b/runtime/src/test/java/org/oriolewell/runtime/net/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the event loop. */
+@NullMarked
+package org.oriolewell.runtime.net;
+
+import org.jspecify.annotations.NullMarked;
