Ask the store less often for changes, and at once after a jump of the clocks

Change: a wait takes 2 s, calls after a failed one 0.1 s, and after an answer with changes 200 ms pass in which further ones gather. After a jump of the clocks a call of its own confirms the copy, since the one under way proves nothing; it would now take 2 s.

--- a/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
@@ -28,10 +28,20 @@
  */
 final class ControlPlane {
   /**
-   * Longest wait of a call for changes. Each answer proves the copy's freshness, so three may fail
-   * within the usual revocation bound of 5 s.
+   * Longest wait of a call for changes. Each answer proves the copy's freshness; a call that fails
+   * takes 1 s more and is followed by short ones, so that one may fail within the usual revocation
+   * bound of 5 s, and nearly two.
    */
-  private static final Duration WAIT = Duration.ofMillis(1200);
+  private static final Duration WAIT = Duration.ofMillis(2000);
+
+  /** Wait of a call that follows a failed one: it has to prove soon that the copy is fresh. */
+  private static final Duration WAIT_AFTER_FAILURE = Duration.ofMillis(100);
+
+  /**
+   * Pause after an answer with changes, in which further ones gather: calls to the store are paid
+   * for, and many upstreams and gateways change at once. Changes are due within 2.5 s.
+   */
+  private static final Duration GATHERING = Duration.ofMillis(200);
 
   private static final Duration FIRST_RETRY = Duration.ofMillis(100);
   private static final Duration MAX_RETRY = Duration.ofMillis(800);
@@ -58,6 +68,7 @@
   private boolean storeLost;
   private Duration retry = FIRST_RETRY;
   private long lease;
+  private long revision;
   private boolean leaving;
 
   private ControlPlane(
@@ -140,9 +151,28 @@
   private void observeClocks() {
     if (freshness.observeClocks(loop.now(), clock.millis())) {
       log.event(GatewayEvent.CLOCK_JUMPED).write();
+      confirmNow();
     }
   }
 
+  /**
+   * Asks the store whether the copy is still right. The call for changes that is under way was sent
+   * before the clocks jumped and proves nothing.
+   */
+  private void confirmNow() {
+    long sentAt = loop.now();
+    feed.changes(revision, WAIT_AFTER_FAILURE)
+        .whenComplete(
+            (batch, failure) ->
+                loop.execute(
+                    () -> {
+                      // Changes are left to the call under way, which gets them too.
+                      if (failure == null && batch.facts().isEmpty()) {
+                        freshness.confirm(sentAt, sentAt);
+                      }
+                    }));
+  }
+
   private void tick() {
     observeClocks();
     List<UpstreamInstance> expired = roster.expireLapsed(loop.now());
@@ -172,41 +202,44 @@
                         replaceAll(batch);
                         freshness.confirm(sentAt, sentAt);
                         changed();
-                        watch(batch.revision());
+                        watch(batch.revision(), WAIT);
                       }
                     }));
   }
 
-  private void watch(long revision) {
+  private void watch(long after, Duration wait) {
     long sentAt = loop.now();
-    feed.changes(revision, WAIT)
+    revision = after;
+    feed.changes(after, wait)
         .whenComplete(
             (batch, failure) ->
                 loop.execute(
                     () -> {
                       if (failure == null) {
-                        changesRead(batch, sentAt);
+                        changesRead(batch, sentAt, wait);
                       } else if (reason(failure) == FeedException.Reason.HISTORY_LOST) {
-                        log.event(GatewayEvent.HISTORY_LOST).with("revision", revision).write();
+                        log.event(GatewayEvent.HISTORY_LOST).with("revision", after).write();
                         readAll();
                       } else {
                         lost(failure);
-                        loop.after(nextRetry(), () -> watch(revision));
+                        loop.after(nextRetry(), () -> watch(after, WAIT_AFTER_FAILURE));
                       }
                     }));
   }
 
-  private void changesRead(Batch batch, long sentAt) {
+  private void changesRead(Batch batch, long sentAt, Duration wait) {
     regained();
     observeClocks();
     // An empty answer was given after the whole wait; any other may be as old as the call.
-    boolean waited = batch.facts().isEmpty() && loop.now() - sentAt >= WAIT.toNanos();
+    boolean waited = batch.facts().isEmpty() && loop.now() - sentAt >= wait.toNanos();
     batch.facts().forEach(this::apply);
-    freshness.confirm(sentAt, waited ? sentAt + WAIT.toNanos() : sentAt);
-    if (!batch.facts().isEmpty()) {
+    freshness.confirm(sentAt, waited ? sentAt + wait.toNanos() : sentAt);
+    if (batch.facts().isEmpty()) {
+      watch(batch.revision(), WAIT);
+    } else {
       changed();
+      loop.after(GATHERING, () -> watch(batch.revision(), WAIT));
     }
-    watch(batch.revision());
   }
 
   private void replaceAll(Batch batch) {
