Hand no stage to a gateway that has no configuration

A gateway that is up without a configuration was chosen as dispatcher by the others and dropped the stages that they handed to it.

Test: GatewayTest#stagesAreNotHandedToGatewayWithoutConfiguration, real gateways beside one that can't reach the store; it fails with the change removed.

--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -38,7 +38,11 @@
   FAILED(8037, Level.INFO, "A request ended without a whole answer; it may have run."),
   CALLER_GONE(8038, Level.INFO, "The caller left; what was in progress for it was stopped."),
   STAGE_CALL(8040, Level.INFO, "A dispatcher sent a call with pieces to an upstream."),
-  STAGE_CALL_ENDED(8041, Level.INFO, "A call with pieces was answered, or has failed.");
+  STAGE_CALL_ENDED(8041, Level.INFO, "A call with pieces was answered, or has failed."),
+  STAGE_REFUSED(
+      8042,
+      Level.WARNING,
+      "Another gateway handed over a stage of a service that is unknown here; its request fails.");
 
   private final int number;
   private final Level level;
--- a/gateway/src/main/java/org/oriolewell/gateway/PeerMesh.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/PeerMesh.java
@@ -228,8 +228,16 @@
     return mesh;
   }
 
+  /**
+   * Returns whether this node can dispatch stages. One that has no configuration yet can't; it says
+   * so to its peers as one that is leaving does.
+   */
+  private boolean available() {
+    return !draining && control.table() != null;
+  }
+
   private Message.Load load() {
-    return new Message.Load(0, 0, 0, 0, draining);
+    return new Message.Load(0, 0, 0, 0, !available());
   }
 
   private Message hello() {
@@ -299,7 +307,7 @@
     String best = null;
     long bestRank = Long.MIN_VALUE;
     List<Peer> candidates = new ArrayList<>();
-    if (!draining) {
+    if (available()) {
       candidates.add(control.self());
     }
     links.values().stream().filter(Link::usable).forEach(link -> candidates.add(link.peer));
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -204,6 +205,8 @@
       StageDispatcher local = dispatcher(new Place(work.service(), ticket.region));
       if (local != null) {
         local.submit(work);
+      } else {
+        failLater(ticket);
       }
       return;
     }
@@ -223,9 +226,22 @@
             List.copyOf(ticket.open),
             work.key(),
             work.inputs());
+    // If the connection is just being lost, onPeersChanged hands the work to the next dispatcher.
     mesh().send(ticket.dispatcher, message);
   }
 
+  /**
+   * Fails work of a service that this node doesn't know; its owner has to learn the ticket first.
+   */
+  private void failLater(Ticket ticket) {
+    loop.execute(
+        () -> {
+          for (int piece : List.copyOf(ticket.open)) {
+            received(ticket.work.ticket(), PieceOutcome.failed(piece, PieceOutcome.Status.FAILED));
+          }
+        });
+  }
+
   /** Withdraws work. */
   void cancel(long number) {
     Ticket ticket = tickets.remove(number);
@@ -344,6 +360,8 @@
       StageDispatcher dispatcher = dispatcher(new Place(submit.service(), submit.region()));
       if (dispatcher != null) {
         dispatcher.submit(work(origin, submit));
+      } else {
+        refuse(connection, submit);
       }
     } else if (message instanceof Message.StageAnnounce announce) {
       StageDispatcher dispatcher = dispatcher(new Place(announce.service(), announce.region()));
@@ -364,6 +382,23 @@
     }
   }
 
+  /** Fails work of a service that this node doesn't know, so that its request isn't held. */
+  private void refuse(WireConnection connection, Message.StageSubmit submit) {
+    int failed = PieceOutcome.Status.FAILED.ordinal();
+    connection.send(
+        new Message.StageResults(
+            submit.ticket(),
+            submit.service(),
+            submit.pieces(),
+            Collections.nCopies(submit.pieces().size(), failed),
+            Collections.nCopies(submit.pieces().size(), "")));
+    log.event(GatewayEvent.STAGE_REFUSED)
+        .with("request", submit.requestId())
+        .with("service", submit.service())
+        .with("reason", "the configuration here has no such service")
+        .write();
+  }
+
   private StageWork work(String origin, Message.StageSubmit submit) {
     long now = loop.now();
     return new StageWork(
