End the gateway also when Jetty's threads can't load a class

Failures of the pool's jobs and of new connections are now reported in the same way.

Test: EventLoopTest#connectionWhoseClassCannotBeLoadedIsFatal, which failed before.

--- a/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
@@ -53,7 +53,14 @@
 
   private record Outgoing(ConnectionFactory factory, Consumer<Throwable> onFailure) {}
 
-  private final QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+  private final QueuedThreadPool threads =
+      new QueuedThreadPool(MAX_THREADS, MIN_THREADS) {
+        @Override
+        protected void onJobFailure(Throwable failure) {
+          // Jetty's own code on these threads, such as the opening of an accepted connection.
+          failed(failure);
+        }
+      };
   private final Scheduler scheduler = new ScheduledExecutorScheduler("timer", true);
   private final Selectors selectors;
   private final EventLog log;
@@ -157,14 +164,18 @@
     try {
       task.run();
     } catch (RuntimeException | Error e) {
-      StackTraceElement[] trace = e.getStackTrace();
-      log.event(RuntimeEvent.TASK_FAILED)
-          .with("at", trace.length == 0 ? null : trace[0])
-          .cause(e)
-          .write();
-      if (e instanceof LinkageError || e instanceof VirtualMachineError) {
-        onFatal.accept((Error) e);
-      }
+      failed(e);
+    }
+  }
+
+  private void failed(Throwable failure) {
+    StackTraceElement[] trace = failure.getStackTrace();
+    log.event(RuntimeEvent.TASK_FAILED)
+        .with("at", trace.length == 0 ? null : trace[0])
+        .cause(failure)
+        .write();
+    if (failure instanceof LinkageError || failure instanceof VirtualMachineError) {
+      onFatal.accept((Error) failure);
     }
   }
 
@@ -276,7 +287,12 @@
     @Override
     public Connection newConnection(
         SelectableChannel channel, EndPoint endPoint, Object attachment) {
-      return ((Outgoing) attachment).factory().connect(endPoint);
+      try {
+        return ((Outgoing) attachment).factory().connect(endPoint);
+      } catch (Error e) {
+        failed(e);
+        throw e;
+      }
     }
 
     @Override
--- a/runtime/src/test/java/org/oriolewell/runtime/net/EventLoopTest.java
+++ b/runtime/src/test/java/org/oriolewell/runtime/net/EventLoopTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
@@ -37,6 +40,23 @@
     assertThat(fatal.get(5, TimeUnit.SECONDS)).isSameAs(cause);
   }
 
+  @Test
+  void connectionWhoseClassCannotBeLoadedIsFatal() throws Exception {
+    Error cause = new NoClassDefFoundError("org/oriolewell/Connection");
+    InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    EventLoop.Listener port =
+        loop.listen(
+            any,
+            endPoint -> {
+              throw cause;
+            });
+    try (Socket caller = new Socket()) {
+      caller.connect(port.address());
+
+      assertThat(fatal.get(5, TimeUnit.SECONDS)).isSameAs(cause);
+    }
+  }
+
   @Test
   void failedTaskEndsNothing() throws Exception {
     AtomicReference<String> next = new AtomicReference<>();
