--- a/runtime/src/main/java/org/oriolewell/runtime/program/ProgramClasses.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/program/ProgramClasses.java
@@ -50,7 +50,7 @@
               .filter(name -> PACKAGES.stream().anyMatch(name::startsWith))
               .toList();
       for (String name : names) {
-        if (load(name.substring(0, name.length() - SUFFIX.length()).replace('/', '.'))) {
+        if (isLoadable(name.substring(0, name.length() - SUFFIX.length()).replace('/', '.'))) {
           loaded++;
         }
       }
@@ -67,7 +67,7 @@
     }
   }
 
-  private static boolean load(String name) {
+  private static boolean isLoadable(String name) {
     try {
       Class.forName(name, false, ProgramClasses.class.getClassLoader());
       return true;
