--- a/core/src/main/java/org/oriolewell/core/stage/StageZone.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageZone.java
@@ -13,8 +13,8 @@
  */
 public final class StageZone {
   /**
-   * Bytes below which the zone doesn't matter: a hundredth of a second of a link between regions,
-   * and far below what the stages with large results move.
+   * Bytes below which the zone doesn't matter: a tenth of a second of a link between regions of 21
+   * Mbit/s, and far below what the stages with large results move.
    */
   private static final long MIN_BYTES = 256 << 10;
 
--- a/gateway/src/main/java/org/oriolewell/gateway/PeerMesh.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/PeerMesh.java
@@ -210,7 +210,7 @@
   /**
    * Starts to listen and to dial. The connections belong to the event loop, as all others of a
    * gateway: an acceptor and a client of their own would load TLS and two more thread pools, which
-   * is a third of the processor time of a start.
+   * is a quarter of the processor time of a start.
    *
    * @throws IOException if the address can't be bound
    */
