--- a/agent/src/main/java/org/oriolewell/agent/AgentEvent.java
+++ b/agent/src/main/java/org/oriolewell/agent/AgentEvent.java
@@ -38,28 +38,14 @@
   ORDER_CLAIM_LOST(
       3043, Level.WARNING, "Another process claimed the engine's orders; the claim is made again.");
 
-  private final int number;
-  private final Level level;
-  private final String meaning;
+  private final Description description;
 
   AgentEvent(int number, Level level, String meaning) {
-    this.number = number;
-    this.level = level;
-    this.meaning = meaning;
+    description = new Description(number, level, meaning);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String meaning() {
-    return meaning;
+  public Description description() {
+    return description;
   }
 }
--- a/ctl/src/main/java/org/oriolewell/ctl/CtlEvent.java
+++ b/ctl/src/main/java/org/oriolewell/ctl/CtlEvent.java
@@ -13,28 +13,14 @@
       Level.FINE,
       "A command of unknown outcome was sent again with the same command id, to settle it.");
 
-  private final int number;
-  private final Level level;
-  private final String meaning;
+  private final Description description;
 
   CtlEvent(int number, Level level, String meaning) {
-    this.number = number;
-    this.level = level;
-    this.meaning = meaning;
+    description = new Description(number, level, meaning);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String meaning() {
-    return meaning;
+  public Description description() {
+    return description;
   }
 }
--- a/entry/src/main/java/org/oriolewell/entry/EntryEvent.java
+++ b/entry/src/main/java/org/oriolewell/entry/EntryEvent.java
@@ -36,28 +36,14 @@
   STOP_TIMED_OUT(
       2030, Level.WARNING, "Requests were still in flight when the time for a planned stop ended.");
 
-  private final int number;
-  private final Level level;
-  private final String meaning;
+  private final Description description;
 
   EntryEvent(int number, Level level, String meaning) {
-    this.number = number;
-    this.level = level;
-    this.meaning = meaning;
+    description = new Description(number, level, meaning);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String meaning() {
-    return meaning;
+  public Description description() {
+    return description;
   }
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -44,28 +44,14 @@
       Level.WARNING,
       "Another gateway handed over a stage of a service that is unknown here; its request fails.");
 
-  private final int number;
-  private final Level level;
-  private final String meaning;
+  private final Description description;
 
   GatewayEvent(int number, Level level, String meaning) {
-    this.number = number;
-    this.level = level;
-    this.meaning = meaning;
+    description = new Description(number, level, meaning);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String meaning() {
-    return meaning;
+  public Description description() {
+    return description;
   }
 }
--- a/loadtool/src/main/java/org/oriolewell/loadtool/LoadEvent.java
+++ b/loadtool/src/main/java/org/oriolewell/loadtool/LoadEvent.java
@@ -19,28 +19,14 @@
   COUNTERS_UNAVAILABLE(
       7021, Level.WARNING, "Metrics could not be read; the report has no counters.");
 
-  private final int number;
-  private final Level level;
-  private final String meaning;
+  private final Description description;
 
   LoadEvent(int number, Level level, String meaning) {
-    this.number = number;
-    this.level = level;
-    this.meaning = meaning;
+    description = new Description(number, level, meaning);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String meaning() {
-    return meaning;
+  public Description description() {
+    return description;
   }
 }
--- a/runtime/src/main/java/org/oriolewell/runtime/admin/AdminEvent.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/admin/AdminEvent.java
@@ -22,28 +22,14 @@
       4024, Level.WARNING, "An operator's token lacks the right for a call of the admin API."),
   ADMIN_FAILED(4025, Level.SEVERE, "A call of the admin API failed; report it as a defect.");
 
-  private final int number;
-  private final Level level;
-  private final String meaning;
+  private final Description description;
 
   AdminEvent(int number, Level level, String meaning) {
-    this.number = number;
-    this.level = level;
-    this.meaning = meaning;
+    description = new Description(number, level, meaning);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String meaning() {
-    return meaning;
+  public Description description() {
+    return description;
   }
 }
--- a/runtime/src/main/java/org/oriolewell/runtime/config/ConfigEvent.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/config/ConfigEvent.java
@@ -27,28 +27,14 @@
   CONFIG_LISTENER_FAILED(
       4007, Level.SEVERE, "A listener of the configuration failed; report it as a defect.");
 
-  private final int number;
-  private final Level level;
-  private final String meaning;
+  private final Description description;
 
   ConfigEvent(int number, Level level, String meaning) {
-    this.number = number;
-    this.level = level;
-    this.meaning = meaning;
+    description = new Description(number, level, meaning);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String meaning() {
-    return meaning;
+  public Description description() {
+    return description;
   }
 }
--- a/runtime/src/main/java/org/oriolewell/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/log/LogEvent.java
@@ -10,17 +10,35 @@
  * loadtool 7xxx, gateway 8xxx.
  */
 public interface LogEvent {
-  /** Returns the number, unique across all modules. */
-  int number();
+  /**
+   * What is known of an event before it happens.
+   *
+   * @param number number, unique across all modules
+   * @param level level at which the event is written
+   * @param meaning one sentence that says what happened and, for problems, what to do
+   */
+  record Description(int number, Level level, String meaning) {}
 
-  /** Returns the level at which the event is written. */
-  Level level();
+  /** Returns the event's description. */
+  Description description();
 
   /** Returns the name, in upper case with underscores, as an enum gives it. */
   String name();
 
+  /** Returns the number, unique across all modules. */
+  default int number() {
+    return description().number();
+  }
+
+  /** Returns the level at which the event is written. */
+  default Level level() {
+    return description().level();
+  }
+
   /** Returns one sentence that says what happened and, for problems, what to do. */
-  String meaning();
+  default String meaning() {
+    return description().meaning();
+  }
 
   /** Returns the identifier as written in a log line, such as {@code OW-2001}. */
   default String id() {
--- a/runtime/src/main/java/org/oriolewell/runtime/log/RuntimeEvent.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/log/RuntimeEvent.java
@@ -33,28 +33,14 @@
       1031, Level.SEVERE, "A task of the event loop failed; report it as a defect with its place."),
   HANDLER_FAILED(1030, Level.SEVERE, "An HTTP handler failed; report it as a defect.");
 
-  private final int number;
-  private final Level level;
-  private final String meaning;
+  private final Description description;
 
   RuntimeEvent(int number, Level level, String meaning) {
-    this.number = number;
-    this.level = level;
-    this.meaning = meaning;
+    description = new Description(number, level, meaning);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String meaning() {
-    return meaning;
+  public Description description() {
+    return description;
   }
 }
--- a/standins/src/main/java/org/oriolewell/standins/StandinEvent.java
+++ b/standins/src/main/java/org/oriolewell/standins/StandinEvent.java
@@ -22,28 +22,14 @@
   LEASE_EXPIRED(6031, Level.INFO, "A lease of the store expired and its keys were removed."),
   HOSTS_CHANGED(6040, Level.INFO, "The host list was changed; callers see it after the lag.");
 
-  private final int number;
-  private final Level level;
-  private final String meaning;
+  private final Description description;
 
   StandinEvent(int number, Level level, String meaning) {
-    this.number = number;
-    this.level = level;
-    this.meaning = meaning;
+    description = new Description(number, level, meaning);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String meaning() {
-    return meaning;
+  public Description description() {
+    return description;
   }
 }
