Keep whole answers in one listener; log a refused release of results

StoreCaller and StageDispatcher buffered answers with the same code. The release of results ignored the status: one that an upstream refused counted as done and its space as free. It is logged now, and the space counts until the results lapse.

--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -1,6 +1,5 @@
 package org.oriolewell.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -10,7 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
-import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.StageService;
 import org.oriolewell.core.stage.PieceOutcome;
@@ -133,11 +132,9 @@
     new RunningCall(call, now).start();
   }
 
-  private final class RunningCall implements UpstreamListener {
+  private final class RunningCall extends BufferedAnswer {
     private final StageCall call;
     private final long startedAt;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private int status;
     private boolean ended;
 
     private RunningCall(StageCall call, long startedAt) {
@@ -163,27 +160,17 @@
           });
     }
 
-    @Override
-    public void onHead(int answerStatus, HttpFields headers) {
-      status = answerStatus;
-    }
-
-    @Override
-    public void onContent(byte[] content) {
-      body.writeBytes(content);
-    }
-
     @Override
     public void onComplete() {
       if (ended) {
         return;
       }
-      if (status != 200) {
-        end("status " + status, status == 503 || status == 429);
+      if (status() != HttpStatus.OK_200) {
+        end("status " + status(), status() == 503 || status() == 429);
         return;
       }
       try {
-        List<PieceOutcome> outcomes = dialect.outcomes(call, body.toByteArray());
+        List<PieceOutcome> outcomes = dialect.outcomes(call, body());
         ended = true;
         long done = outcomes.stream().filter(o -> o.status() == PieceOutcome.Status.DONE).count();
         log.event(GatewayEvent.STAGE_CALL_ENDED)
@@ -251,18 +238,16 @@
             maker.id() + "/" + maker.startedMillis(),
             maker.address(),
             dialect.release(maker, handles),
-            new UpstreamListener() {
-              @Override
-              public void onHead(int status, HttpFields headers) {}
-
-              @Override
-              public void onContent(byte[] content) {}
-
+            new BufferedAnswer() {
               @Override
               public void onComplete() {
                 ended[0] = true;
-                queue.freed(handles, loop.now());
-                pump();
+                if (status() == HttpStatus.OK_200) {
+                  queue.freed(handles, loop.now());
+                  pump();
+                } else {
+                  releaseFailed(maker, new IOException("status " + status()));
+                }
               }
 
               @Override
--- a/gateway/src/main/java/org/oriolewell/gateway/StoreCaller.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StoreCaller.java
@@ -1,9 +1,7 @@
 package org.oriolewell.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import org.eclipse.jetty.http.HttpFields;
 import org.oriolewell.gateway.ControlFeed.FeedException;
 import org.oriolewell.runtime.net.EventLoop;
 
@@ -44,10 +42,8 @@
     return result;
   }
 
-  private final class Running implements UpstreamListener {
+  private final class Running extends BufferedAnswer {
     private final CompletableFuture<Answer> result;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private int status;
 
     private Running(CompletableFuture<Answer> result) {
       this.result = result;
@@ -72,19 +68,9 @@
           new FeedException(FeedException.Reason.UNAVAILABLE, "the store gave " + message));
     }
 
-    @Override
-    public void onHead(int answerStatus, HttpFields headers) {
-      status = answerStatus;
-    }
-
-    @Override
-    public void onContent(byte[] content) {
-      body.writeBytes(content);
-    }
-
     @Override
     public void onComplete() {
-      result.complete(new Answer(status, body.toByteArray()));
+      result.complete(new Answer(status(), body()));
     }
 
     @Override
