Confirm the copy of keys soon after a jump of the clocks, also while changes gather

The call that was added for this proved nothing when changes had just arrived: it asked from the revision before them, got them as an answer and gave up. The call now asks from the last revision read, and again until the copy is fresh; there is one such loop at a time.

--- a/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
@@ -68,7 +68,11 @@
   private boolean storeLost;
   private Duration retry = FIRST_RETRY;
   private long lease;
+
+  /** Revision up to which the copy holds; 0 before anything was read. */
   private long revision;
+
+  private boolean confirming;
   private boolean leaving;
 
   private ControlPlane(
@@ -156,20 +160,32 @@
   }
 
   /**
-   * Asks the store whether the copy is still right. The call for changes that is under way was sent
-   * before the clocks jumped and proves nothing.
+   * Asks the store whether the copy is still right, until it is fresh again. The call for changes
+   * that is under way was sent before the clocks jumped and proves nothing. Changes are left to
+   * that call, which gets them too.
    */
   private void confirmNow() {
+    if (!confirming && revision != 0) {
+      confirming = true;
+      askWhetherCurrent();
+    }
+  }
+
+  private void askWhetherCurrent() {
     long sentAt = loop.now();
     feed.changes(revision, WAIT_AFTER_FAILURE)
         .whenComplete(
             (batch, failure) ->
                 loop.execute(
                     () -> {
-                      // Changes are left to the call under way, which gets them too.
                       if (failure == null && batch.facts().isEmpty()) {
                         freshness.confirm(sentAt, sentAt);
                       }
+                      confirming = !freshness.fresh(loop.now());
+                      if (confirming) {
+                        Duration pause = failure == null ? GATHERING : MAX_RETRY;
+                        loop.after(pause, this::askWhetherCurrent);
+                      }
                     }));
   }
 
@@ -234,6 +250,7 @@
     boolean waited = batch.facts().isEmpty() && loop.now() - sentAt >= wait.toNanos();
     batch.facts().forEach(this::apply);
     freshness.confirm(sentAt, waited ? sentAt + wait.toNanos() : sentAt);
+    revision = batch.revision();
     if (batch.facts().isEmpty()) {
       watch(batch.revision(), WAIT);
     } else {
