--- a/gateway/src/main/java/org/oriolewell/gateway/ControlFeed.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlFeed.java
@@ -36,7 +36,7 @@
   /**
    * A gateway.
    *
-   * @param name name, unique in the installation
+   * @param name name, unique in the fleet
    * @param address IP address and port of its peer protocol
    * @param zone availability zone
    * @param region region
--- a/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
@@ -43,8 +43,13 @@
    */
   private static final Duration GATHERING = Duration.ofMillis(200);
 
+  /** Pause after a failed call; doubles with each further one, so that a store is not flooded. */
   private static final Duration FIRST_RETRY = Duration.ofMillis(100);
+
+  /** Longest such pause: a store that is back is noticed within a second. */
   private static final Duration MAX_RETRY = Duration.ofMillis(800);
+
+  /** Interval of the check of the clocks; a suspension is noticed within it without a request. */
   private static final Duration TICK = Duration.ofMillis(250);
 
   /** Part of the revocation bound that is left for a request's way to its upstream. */
@@ -53,6 +58,7 @@
   /** Lifetime of this node's entry; a dead node is dialed in vain for at most this time. */
   private static final Duration ENTRY_LIFETIME = Duration.ofSeconds(10);
 
+  /** Interval of renewals; two may fail within the lifetime. */
   private static final Duration RENEW_INTERVAL = Duration.ofSeconds(3);
 
   private final EventLoop loop;
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -42,7 +42,10 @@
   /** Time before the kill at which a planned stop ends in any case. */
   private static final Duration STOP_MARGIN = Duration.ofMillis(400);
 
+  /** Interval in which a planned stop looks whether all requests have ended. */
   private static final Duration STOP_CHECK = Duration.ofMillis(50);
+
+  /** Interval in which idle connections are closed before their upstream does it. */
   private static final Duration SWEEP = Duration.ofMillis(500);
 
   private final EventLoop loop;
--- a/gateway/src/main/java/org/oriolewell/gateway/PeerMesh.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/PeerMesh.java
@@ -34,7 +34,9 @@
   /** Silence after which a peer is taken as dead: three heartbeats and a round trip. */
   private static final Duration DEAD = Duration.ofMillis(1000);
 
+  /** Largest message: the handles of a request with thousands of pieces fit. */
   private static final int MAX_FRAME_BYTES = 1 << 20;
+
   private static final String ROLE = "gateway";
 
   /** Receives what peers say. */
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDesk.java
@@ -34,6 +34,7 @@
  * <p>Used on the event loop only.
  */
 final class StageDesk implements PeerMesh.Handler {
+  /** Interval of the checks for overdue calls; short against the fixed time of a call, 150 ms. */
   private static final Duration TICK = Duration.ofMillis(25);
 
   /** Load reports are repeated at this interval when nothing has changed. */
