Start no work for callers that have left; let a canceled timer never run

CallerConnection queued the request for its handler and closed the exchange; the handler then started it, and nobody told it that the caller had left, since the exchange had ended before the handler subscribed. It ran until its own deadline. The same after stages, when their last answer and the disconnection wait together.

Change: a request is started, an upstream chosen and a new connection used only after the caller's input was read once more; a timer canceled on the loop never runs; closing a connection cancels its request; the idle time-out reads what has arrived before it closes.

--- a/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
@@ -70,8 +70,7 @@
     this.loop = loop;
     this.handler = handler;
     this.output =
-        new OutputQueue(
-            endPoint, MAX_QUEUED_OUTPUT_BYTES, cause -> loop.dispatch(this::onCallerGone));
+        new OutputQueue(endPoint, MAX_QUEUED_OUTPUT_BYTES, cause -> loop.dispatch(this::close));
     this.parser = new HttpParser(new RequestAssembler(), handler.limits().maxHeaderBytes());
   }
 
@@ -81,7 +80,7 @@
     loop.execute(
         () -> {
           handler.onOpened(this);
-          startTimer(handler.limits().idleTimeout(), this::close);
+          startIdleTimer();
           read();
         });
   }
@@ -95,7 +94,7 @@
 
         @Override
         public void failed(Throwable cause) {
-          loop.dispatch(CallerConnection.this::onCallerGone);
+          loop.dispatch(CallerConnection.this::close);
         }
 
         @Override
@@ -111,15 +110,30 @@
     }
   }
 
+  /**
+   * Reads what has arrived without waiting for the selector, so that a caller that has disconnected
+   * is noticed even if the event loop is behind.
+   */
+  void readArrivedInput() {
+    fill();
+  }
+
   @Override
   public void onFillable() {
     readRequested = false;
+    if (fill()) {
+      read();
+    }
+  }
+
+  /** Reads and parses until no input is left; returns whether the connection is still open. */
+  private boolean fill() {
     try {
       while (!closed && pendingInput.remaining() < MAX_PIPELINED_BYTES) {
         int filledBytes = getEndPoint().fill(readBuffer);
         if (filledBytes < 0) {
-          onEndOfInput();
-          return;
+          close();
+          return false;
         }
         if (filledBytes == 0) {
           break;
@@ -127,10 +141,10 @@
         appendInput();
         parse();
       }
-      read();
     } catch (Exception e) {
-      onCallerGone();
+      close();
     }
+    return !closed;
   }
 
   private void appendInput() {
@@ -157,29 +171,31 @@
     }
   }
 
-  private void onEndOfInput() {
-    onCallerGone();
-  }
-
-  /** Closes the connection after the caller disconnected or an I/O error. */
-  private void onCallerGone() {
+  /** Closes the connection; a request in progress is canceled, as its answer has no recipient. */
+  @Override
+  public void close() {
     if (closed) {
       return;
     }
+    closed = true;
+    stopTimer();
+    handler.onClosed(this);
+    getEndPoint().close();
     CallerExchange currentExchange = exchange;
-    close();
     if (currentExchange != null) {
       currentExchange.onCallerLeft();
     }
   }
 
-  @Override
-  public void close() {
-    if (!closed) {
-      closed = true;
-      stopTimer();
-      handler.onClosed(this);
-      getEndPoint().close();
+  private void startIdleTimer() {
+    startTimer(handler.limits().idleTimeout(), this::closeIfIdle);
+  }
+
+  /** Closes the connection after its idle time-out unless a request has arrived meanwhile. */
+  private void closeIfIdle() {
+    readArrivedInput();
+    if (idle()) {
+      close();
     }
   }
 
@@ -207,7 +223,7 @@
       return false;
     }
     if (!output.write(buffers)) {
-      onCallerGone();
+      close();
       return false;
     }
     return true;
@@ -222,7 +238,7 @@
       return;
     }
     parser.reset();
-    startTimer(handler.limits().idleTimeout(), this::close);
+    startIdleTimer();
     parse();
     read();
   }
@@ -329,7 +345,7 @@
 
     @Override
     public void earlyEOF() {
-      onCallerGone();
+      close();
     }
 
     @Override
--- a/gateway/src/main/java/org/oriolewell/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerExchange.java
@@ -50,6 +50,18 @@
     onCallerGone = task;
   }
 
+  /**
+   * Reads what has arrived from the caller and returns whether the exchange has ended, by the
+   * caller's disconnection or by its answer. Checked before work is started for the caller, because
+   * an event loop that is behind has not yet been told of the disconnection.
+   */
+  boolean callerGone() {
+    if (state != State.ENDED) {
+      connection.readArrivedInput();
+    }
+    return ended();
+  }
+
   /** Returns whether the answer is complete or was aborted, or the caller has disconnected. */
   boolean ended() {
     return state == State.ENDED;
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -281,6 +281,9 @@
   }
 
   private void sendTo(UpstreamInstance upstream, @Nullable String lastEventId) {
+    if (exchange.callerGone()) {
+      return;
+    }
     long now = components.loop().now();
     Duration remaining = Duration.ofNanos(deadline - now);
     if (remaining.toMillis() <= 0) {
@@ -342,6 +345,12 @@
         : route.latencyTarget().dividedBy(2).plus(route.eventGapTarget().multipliedBy(2));
   }
 
+  @Override
+  public void onConnected() {
+    // Cancels the attempt before the request is written if the caller has disconnected meanwhile.
+    exchange.callerGone();
+  }
+
   @Override
   public void onSent(UpstreamInstance upstream) {
     boolean inRegion = components.regions().regionOf(upstream.zone()).equals(region);
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestIntake.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestIntake.java
@@ -32,6 +32,15 @@
   void accept(CallerExchange exchange) {
     CallerRequest request = exchange.request();
     Intent intent = components.dialect().decode(request.headers());
+    if (exchange.callerGone()) {
+      components
+          .log()
+          .event(GatewayEvent.CALLER_GONE)
+          .with("request", intent.attemptId())
+          .with("reason", "the caller closed its connection before its request was processed")
+          .write();
+      return;
+    }
     RouteTable table = components.control().table();
     if (table == null) {
       refuse(exchange, intent, 503, "no configuration", NOT_READY_RETRY_AFTER);
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -33,6 +33,9 @@
 
   /** Receives the answer. Exactly one of the methods that end the attempt is called, once. */
   interface Listener {
+    /** Called when a connection was opened for the attempt, which can still be canceled unsent. */
+    void onConnected();
+
     /** Called when the request was queued for writing to the upstream. */
     void onSent(UpstreamInstance upstream);
 
@@ -169,6 +172,13 @@
     }
   }
 
+  @Override
+  public void onConnected() {
+    if (!attemptEnded) {
+      listener.onConnected();
+    }
+  }
+
   @Override
   public void onSent() {
     if (!attemptEnded) {
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
@@ -128,6 +128,9 @@
     }
 
     private void onOpened(UpstreamConnection openedConnection, Pool pool) {
+      if (!canceled) {
+        listener.onConnected();
+      }
       connection = openedConnection;
       if (canceled) {
         // Nothing was sent on the connection, so the next request to this upstream can use it.
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamListener.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamListener.java
@@ -5,6 +5,9 @@
 /** Receives the answer to an {@link UpstreamRequest}, on the event loop. */
 interface UpstreamListener {
 
+  /** Called when a connection was opened for the request, which can still be canceled unsent. */
+  default void onConnected() {}
+
   /** Called when the request was queued for writing on an open connection. */
   default void onSent() {}
 
--- a/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
@@ -40,7 +40,10 @@
   /** A scheduled task that can be canceled. */
   @FunctionalInterface
   public interface Timer {
-    /** Cancels the task; a run that is already queued or in progress may still happen. */
+    /**
+     * Cancels the task. If called on the loop's thread, the task does not run afterwards, even if
+     * its time has come already; otherwise a run that is in progress may still happen.
+     */
     void cancel();
   }
 
@@ -124,9 +127,42 @@
 
   /** Runs a task once on the loop's thread after a delay. */
   public Timer after(Duration delay, Runnable task) {
-    Scheduler.Task scheduledTask =
-        scheduler.schedule(() -> execute(task), Math.max(0, delay.toNanos()), TimeUnit.NANOSECONDS);
-    return scheduledTask::cancel;
+    return new OneShotTimer(task).schedule(delay);
+  }
+
+  private final class OneShotTimer implements Timer {
+    private final Runnable task;
+    private Scheduler.@Nullable Task scheduledTask;
+    private volatile boolean canceled;
+
+    private OneShotTimer(Runnable task) {
+      this.task = task;
+    }
+
+    private OneShotTimer schedule(Duration delay) {
+      scheduledTask =
+          scheduler.schedule(
+              () -> execute(this::runUnlessCanceled),
+              Math.max(0, delay.toNanos()),
+              TimeUnit.NANOSECONDS);
+      return this;
+    }
+
+    private void runUnlessCanceled() {
+      if (!canceled) {
+        task.run();
+      }
+    }
+
+    @Override
+    public void cancel() {
+      // The scheduler can't withdraw a run that it has already queued on the loop.
+      canceled = true;
+      Scheduler.Task currentTask = scheduledTask;
+      if (currentTask != null) {
+        currentTask.cancel();
+      }
+    }
   }
 
   /** Runs a task repeatedly on the loop's thread, waiting for the interval before each run. */
--- a/runtime/src/test/java/org/oriolewell/runtime/net/EventLoopTest.java
+++ b/runtime/src/test/java/org/oriolewell/runtime/net/EventLoopTest.java
@@ -9,7 +9,9 @@
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.oriolewell.runtime.log.EventLog;
@@ -40,6 +42,26 @@
     assertThat(fatalError.get(5, TimeUnit.SECONDS)).isSameAs(loadError);
   }
 
+  /**
+   * Guards against a connection that is closed by its old idle timer after a request was read from
+   * it.
+   */
+  @Test
+  void timerThatIsCanceledOnTheLoopDoesNotRunEvenIfItIsDue() throws Exception {
+    CompletableFuture<Void> dueTimerCanceled = new CompletableFuture<>();
+    AtomicInteger runs = new AtomicInteger();
+    loop.execute(
+        () -> {
+          EventLoop.Timer timer = loop.after(Duration.ofMillis(1), runs::incrementAndGet);
+          LockSupport.parkNanos(Duration.ofMillis(100).toNanos());
+          timer.cancel();
+          loop.execute(() -> loop.execute(() -> dueTimerCanceled.complete(null)));
+        });
+    dueTimerCanceled.get(5, TimeUnit.SECONDS);
+
+    assertThat(runs).hasValue(0);
+  }
+
   @Test
   void connectionWhoseClassCannotBeLoadedIsFatal() throws Exception {
     Error loadError = new NoClassDefFoundError("org/oriolewell/Connection");
