Bound answers without end; keep a slow stream that nothing can replace

Cause: the read loop of a connection to an upstream ends only when no byte is left, and bodies, events and interim answers were collected without a limit. Seen with the new test on: one upstream that sends without end keeps the event loop in UpstreamConnection.onFillable (95 s of processor time until the run was ended); no other request is answered meanwhile. The agent's clients bound their bodies already. A resumable stream with pauses beyond the inactivity limit was broken off even if no other engine or retry was left, so that the caller lost a sound answer.

Change: a connection reads at most 16 buffers in a turn, on both sides; bodies and events end at upstreams.max_answer_bytes (256 KiB), answers of stages and of the store at limits of their own; heads, interim and skipped answers, framing and trailers at 128 KiB beyond the body. The attempt fails as incomplete: the connection is closed, the upstream's score lowered, the caller gets 502 or another attempt. A silent attempt ends only if another upstream and the retry budget are there.

--- a/core/src/main/java/org/oriolewell/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/oriolewell/core/stream/EventSplitter.java
@@ -56,6 +56,11 @@
     return incompleteEvent.size() > 0;
   }
 
+  /** Returns the size of the incomplete event at the end of the received bytes, in bytes. */
+  public int incompleteBytes() {
+    return incompleteEvent.size();
+  }
+
   /** Discards the bytes of an incomplete event. */
   public void reset() {
     incompleteEvent.reset();
--- a/gateway/src/main/java/org/oriolewell/gateway/BufferedAnswer.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/BufferedAnswer.java
@@ -1,21 +1,30 @@
 package org.oriolewell.gateway;
 
-import java.io.ByteArrayOutputStream;
 import org.eclipse.jetty.http.HttpFields;
 
 /** Listener that collects the status and the body of an answer until it is complete. */
 abstract class BufferedAnswer implements UpstreamListener {
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final AnswerBody body;
   private int status;
 
+  /**
+   * Creates a listener that has received nothing.
+   *
+   * @param maxBodyBytes largest accepted body, in bytes
+   * @param limitName constant that holds the limit, named when it is exceeded
+   */
+  BufferedAnswer(long maxBodyBytes, String limitName) {
+    body = AnswerBody.withLimit(maxBodyBytes, limitName);
+  }
+
   @Override
   public void onHead(int answerStatus, HttpFields headers) {
     status = answerStatus;
   }
 
   @Override
-  public void onContent(byte[] content) {
-    body.writeBytes(content);
+  public void onContent(byte[] content) throws AnswerTooLargeException {
+    body.append(content);
   }
 
   /** Returns the HTTP status of the answer; 0 before its head was read. */
--- a/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
@@ -31,6 +31,9 @@
   /** Bytes of pipelined requests that are read ahead; further ones stay in the kernel's buffer. */
   private static final int MAX_PIPELINED_BYTES = 64 << 10;
 
+  /** Reads in a row after which other connections of the event loop get their turn. */
+  private static final int MAX_READS_PER_TURN = 16;
+
   /** Most output that is queued for a slow caller; beyond it the connection is closed. */
   private static final long MAX_QUEUED_OUTPUT_BYTES = 4 << 20;
 
@@ -104,12 +107,16 @@
       };
 
   private void read() {
-    if (!closed && !readRequested && pendingInput.remaining() < MAX_PIPELINED_BYTES) {
+    if (mayRead() && !readRequested) {
       readRequested = true;
       fillInterested(fillCallback);
     }
   }
 
+  private boolean mayRead() {
+    return !closed && pendingInput.remaining() < MAX_PIPELINED_BYTES;
+  }
+
   /**
    * Reads what has arrived without waiting for the selector, so that a caller that has disconnected
    * is noticed even if the event loop is behind.
@@ -126,10 +133,10 @@
     }
   }
 
-  /** Reads and parses until no input is left; returns whether the connection is still open. */
+  /** Reads and parses a bounded part of the input; returns whether the connection is still open. */
   private boolean fill() {
     try {
-      while (!closed && pendingInput.remaining() < MAX_PIPELINED_BYTES) {
+      for (int reads = 0; reads < MAX_READS_PER_TURN && mayRead(); reads++) {
         int filledBytes = getEndPoint().fill(readBuffer);
         if (filledBytes < 0) {
           close();
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -112,6 +112,7 @@
                 settings.value(GatewaySettings.RETRY_SLACK),
                 Duration.ofSeconds(settings.value(GatewaySettings.RETRY_WINDOW)),
                 () -> control.peers().size() + 1),
+            settings.value(GatewaySettings.MAX_ANSWER_BYTES),
             metrics,
             log);
     intake = new RequestIntake(components);
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewaySettings.java
@@ -88,6 +88,15 @@
   public static final Setting<Integer> RETRY_WINDOW =
       Setting.integer("retries.window_seconds", 10, 1, 3600, "Window of the retry budget.");
 
+  /** Largest body of an upstream's answer that is no stream, and largest event of a stream. */
+  public static final Setting<Integer> MAX_ANSWER_BYTES =
+      Setting.integer(
+          "upstreams.max_answer_bytes",
+          256 << 10,
+          1 << 10,
+          64 << 20,
+          "Largest answer, or event of a stream, of an upstream, in bytes.");
+
   /** The settings in the order in which they are listed to operators. */
   public static final SettingsSpec SPEC =
       SettingsSpec.of(
@@ -107,7 +116,8 @@
               LAPSE_GRACE,
               RETRY_RATIO,
               RETRY_SLACK,
-              RETRY_WINDOW));
+              RETRY_WINDOW,
+              MAX_ANSWER_BYTES));
 
   private GatewaySettings() {}
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -87,6 +87,10 @@
   private long firstByteMillis = -1;
   private long attemptStartedAt;
   private boolean mayHaveExecuted;
+
+  /** Whether the retry budget has granted the next attempt already. */
+  private boolean retryGranted;
+
   private boolean requestEnded;
   private final List<EventLoop.Timer> timers = new ArrayList<>();
 
@@ -345,6 +349,15 @@
         : route.latencyTarget().dividedBy(2).plus(route.eventGapTarget().multipliedBy(2));
   }
 
+  @Override
+  public boolean mayReplaceSilentAttempt() {
+    if (chooseUpstream().isEmpty()) {
+      return false;
+    }
+    retryGranted = mayRetry();
+    return retryGranted;
+  }
+
   @Override
   public void onConnected() {
     // Cancels the attempt before the request is written if the caller has disconnected meanwhile.
@@ -449,6 +462,10 @@
   }
 
   private boolean mayRetry() {
+    if (retryGranted) {
+      retryGranted = false;
+      return true;
+    }
     boolean retryAllowed = components.retryBudget().tryTake(serviceName, components.loop().now());
     if (retryAllowed) {
       components.metrics().attemptRetried(serviceName);
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -29,6 +29,11 @@
   /** Time for which the handles of results to free are collected into one call. */
   private static final Duration RELEASE_BATCH_DELAY = Duration.ofMillis(5);
 
+  /** Largest answer of a stage upstream: one handle of under 100 bytes for each piece of a call. */
+  private static final long MAX_STAGE_ANSWER_BYTES = 256 << 10;
+
+  private static final String MAX_STAGE_ANSWER_BYTES_NAME = "MAX_STAGE_ANSWER_BYTES";
+
   /** Time-out of a call that frees results. */
   private static final Duration RELEASE_TIMEOUT = Duration.ofMillis(1000);
 
@@ -139,6 +144,7 @@
     private boolean callEnded;
 
     private RunningCall(StageCall call, long startedAt) {
+      super(MAX_STAGE_ANSWER_BYTES, MAX_STAGE_ANSWER_BYTES_NAME);
       this.call = call;
       this.startedAt = startedAt;
     }
@@ -242,7 +248,7 @@
             producer.id() + "/" + producer.startedMillis(),
             producer.address(),
             dialect.releaseRequest(producer, handles),
-            new BufferedAnswer() {
+            new BufferedAnswer(MAX_STAGE_ANSWER_BYTES, MAX_STAGE_ANSWER_BYTES_NAME) {
               @Override
               public void onComplete() {
                 callEnded[0] = true;
--- a/gateway/src/main/java/org/oriolewell/gateway/StoreCaller.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StoreCaller.java
@@ -9,6 +9,11 @@
 public final class StoreCaller {
   private static final String POOL_KEY = "store";
 
+  /**
+   * Largest answer of the store: a page holds 1 MB of values, which Base64 makes a third longer.
+   */
+  private static final long MAX_STORE_ANSWER_BYTES = 4 << 20;
+
   private final EventLoop loop;
   private final UpstreamClient client;
   private final String storeAddress;
@@ -47,6 +52,7 @@
     private final CompletableFuture<Answer> result;
 
     private PendingCall(CompletableFuture<Answer> result) {
+      super(MAX_STORE_ANSWER_BYTES, "MAX_STORE_ANSWER_BYTES");
       this.result = result;
     }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -1,6 +1,5 @@
 package org.oriolewell.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -36,6 +35,14 @@
     /** Called when a connection was opened for the attempt, which can still be canceled unsent. */
     void onConnected();
 
+    /**
+     * Called when the upstream has sent nothing for the inactivity limit.
+     *
+     * @return whether another attempt takes over, so that this one ends as incomplete; otherwise it
+     *     goes on, since a slow answer is better than none
+     */
+    boolean mayReplaceSilentAttempt();
+
     /** Called when the request was queued for writing to the upstream. */
     void onSent(UpstreamInstance upstream);
 
@@ -78,7 +85,7 @@
   private final UpstreamInstance upstream;
   private final Listener listener;
   private final EventSplitter eventSplitter = EventSplitter.create();
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final AnswerBody body;
   private @Nullable AnswerStream answerStream;
   private UpstreamClient.@Nullable Call call;
   private EventLoop.@Nullable Timer inactivityTimer;
@@ -109,6 +116,8 @@
     this.upstream = upstream;
     this.answerStream = answerStream;
     this.listener = listener;
+    this.body =
+        AnswerBody.withLimit(components.maxAnswerBytes(), GatewaySettings.MAX_ANSWER_BYTES.key());
   }
 
   /**
@@ -166,9 +175,14 @@
   }
 
   private void onInactive() {
-    if (!attemptEnded) {
+    if (attemptEnded) {
+      return;
+    }
+    if (listener.mayReplaceSilentAttempt()) {
       endIncomplete(
           "silent for " + (inactivityTimeout == null ? 0 : inactivityTimeout.toMillis()) + " ms");
+    } else {
+      restartInactivityTimer();
     }
   }
 
@@ -204,18 +218,24 @@
   }
 
   @Override
-  public void onContent(byte[] content) {
+  public void onContent(byte[] content) throws AnswerTooLargeException {
     if (attemptEnded) {
       return;
     }
     if (!streaming) {
-      body.writeBytes(content);
+      body.append(content);
       return;
     }
     for (EventSplitter.Event event : eventSplitter.add(content)) {
       restartInactivityTimer();
       forwardEvent(event);
     }
+    if (eventSplitter.incompleteBytes() > components.maxAnswerBytes()) {
+      throw new AnswerTooLargeException(
+          "an event of the stream",
+          components.maxAnswerBytes(),
+          GatewaySettings.MAX_ANSWER_BYTES.key());
+    }
   }
 
   private void forwardEvent(EventSplitter.Event event) {
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
@@ -29,6 +29,16 @@
 final class UpstreamConnection extends AbstractConnection {
   private static final int READ_BUFFER_BYTES = 16 << 10;
   private static final long MAX_QUEUED_OUTPUT_BYTES = 16 << 20;
+
+  /** Reads in a row after which other connections of the event loop get their turn. */
+  private static final int MAX_READS_PER_TURN = 16;
+
+  /**
+   * Most bytes of an answer that are not part of its body, beyond the size of the body: heads,
+   * interim answers, repeated answers to earlier requests, chunk framing and trailers.
+   */
+  private static final long MAX_OVERHEAD_BYTES = 128 << 10;
+
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
 
   /**
@@ -66,6 +76,8 @@
   private boolean closed;
   private boolean closeAfterAnswer;
   private long usableUntil = Long.MAX_VALUE;
+  private long receivedBytes;
+  private long deliveredBytes;
 
   UpstreamConnection(
       EndPoint endPoint, Executor executor, EventLoop loop, Owner owner, String attemptIdHeader) {
@@ -119,6 +131,8 @@
     attemptId = request.attemptId();
     answerComplete = false;
     closeAfterAnswer = false;
+    receivedBytes = 0;
+    deliveredBytes = 0;
     parser.reset();
     HttpFields.Mutable requestHeaders = HttpFields.build(request.headers());
     if (request.body().length > 0 || request.method().equals("POST")) {
@@ -138,7 +152,11 @@
   @Override
   public void onFillable() {
     try {
-      while (!closed) {
+      for (int reads = 0; !closed; reads++) {
+        if (reads == MAX_READS_PER_TURN) {
+          fillInterested(fillCallback);
+          return;
+        }
         int filledBytes = getEndPoint().fill(readBuffer);
         if (filledBytes < 0) {
           endOfInput();
@@ -148,7 +166,9 @@
           fillInterested(fillCallback);
           return;
         }
+        receivedBytes += filledBytes;
         parse();
+        checkOverhead();
       }
     } catch (IOException | RuntimeException e) {
       failRequest(e);
@@ -170,6 +190,14 @@
     BufferUtil.clear(readBuffer);
   }
 
+  private void checkOverhead() {
+    if (listener != null && receivedBytes - 2 * deliveredBytes > MAX_OVERHEAD_BYTES) {
+      failRequest(
+          new AnswerTooLargeException(
+              "what surrounds the answer's body", MAX_OVERHEAD_BYTES, "MAX_OVERHEAD_BYTES"));
+    }
+  }
+
   private void endOfInput() {
     if (listener == null) {
       close();
@@ -279,7 +307,12 @@
       content.get(bytes);
       UpstreamListener receiver = listener;
       if (!skippingAnswer && receiver != null) {
-        receiver.onContent(bytes);
+        deliveredBytes += bytes.length;
+        try {
+          receiver.onContent(bytes);
+        } catch (AnswerTooLargeException e) {
+          failRequest(e);
+        }
       }
       return closed;
     }
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamListener.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamListener.java
@@ -14,8 +14,13 @@
   /** Called when the status line and the headers of the answer were read. */
   void onHead(int status, HttpFields headers);
 
-  /** Called for each part of the answer's body, without chunk framing. */
-  void onContent(byte[] content);
+  /**
+   * Called for each part of the answer's body, without chunk framing.
+   *
+   * @throws AnswerTooLargeException if the answer exceeds what the listener accepts; the connection
+   *     is closed and {@link #onFailure} is called
+   */
+  void onContent(byte[] content) throws AnswerTooLargeException;
 
   /** Called once when the answer was read completely. */
   void onComplete();
