Recognize a repeated answer of a stage upstream

Cause: calls of stages carry no id, so a second copy of an answer that arrives once the next call runs on the same connection was taken for that call's answer, and a request read the stage results of another one. Change: an answer that names a result twice, or one that the upstream has named before, fails the call and closes its connection, since the true answer may still follow on it.

--- a/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
@@ -380,6 +380,30 @@
     return dispatchOrder;
   }
 
+  /**
+   * Returns whether an answer names a result twice, or one that an earlier answer of the same
+   * upstream has named. Such an answer belongs to another call: an upstream that sends an answer
+   * again, late, on a connection that carries the next call would otherwise give the results of one
+   * request to another.
+   *
+   * @param outcomes outcomes that the answer holds
+   */
+  public boolean repeatsResults(long callId, List<PieceOutcome> outcomes) {
+    RunningCall call = runningCalls.get(callId);
+    Set<String> handles = new HashSet<>();
+    for (PieceOutcome outcome : outcomes) {
+      String handle = outcome.handle();
+      boolean repeated =
+          handle != null
+              && (!handles.add(handle)
+                  || (call != null && call.upstream.storedResults.containsKey(handle)));
+      if (repeated) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Records an upstream's answer to a call.
    *
--- a/core/src/test/java/org/oriolewell/core/stage/StageQueueTest.java
+++ b/core/src/test/java/org/oriolewell/core/stage/StageQueueTest.java
@@ -73,6 +73,27 @@
     return outcomes;
   }
 
+  /** Load pattern: an upstream repeats its last answer while the next call runs. */
+  @Test
+  void answerThatRepeatsResultsOfAnEarlierCallIsRecognized() {
+    queue.replaceUpstreams(List.of(UPSTREAM_IN_ZONE_A), 0);
+    queue.add(work(1, 2, 1000, 500), 0);
+    StageCall firstCall = nextOnlyCall(0);
+    List<PieceOutcome> firstAnswer = outcomesAllDone(firstCall);
+    assertThat(queue.repeatsResults(firstCall.id(), firstAnswer)).isFalse();
+    queue.completed(firstCall.id(), firstAnswer, 200 * NANOS_PER_MILLI);
+    queue.add(work(2, 2, 1000, 900), 200 * NANOS_PER_MILLI);
+    StageCall secondCall = nextOnlyCall(200 * NANOS_PER_MILLI);
+
+    assertThat(queue.repeatsResults(secondCall.id(), firstAnswer)).isTrue();
+    assertThat(queue.repeatsResults(secondCall.id(), outcomesAllDone(secondCall))).isFalse();
+    assertThat(
+            queue.repeatsResults(
+                secondCall.id(),
+                List.of(PieceOutcome.done(0, "a:1/same"), PieceOutcome.done(1, "a:1/same"))))
+        .isTrue();
+  }
+
   @Test
   void piecesOfSeveralRequestsAreBatchedIntoOneCall() {
     queue.replaceUpstreams(List.of(UPSTREAM_IN_ZONE_A), 0);
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import org.eclipse.jetty.http.HttpStatus;
+import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.StageService;
 import org.oriolewell.core.stage.PieceOutcome;
@@ -141,6 +142,7 @@
   private final class RunningCall extends BufferedAnswer {
     private final StageCall call;
     private final long startedAt;
+    private UpstreamClient.@Nullable Call clientCall;
     private boolean callEnded;
 
     private RunningCall(StageCall call, long startedAt) {
@@ -150,7 +152,7 @@
     }
 
     private void start() {
-      UpstreamClient.Call clientCall =
+      clientCall =
           client.send(
               call.upstream().id() + "/" + call.upstream().startedMillis(),
               call.upstream().address(),
@@ -161,12 +163,19 @@
           timeout,
           () -> {
             if (!callEnded) {
-              clientCall.cancel();
+              closeConnection();
               failCall("no answer within " + timeout.toMillis() + " ms", false);
             }
           });
     }
 
+    private void closeConnection() {
+      UpstreamClient.Call currentCall = clientCall;
+      if (currentCall != null) {
+        currentCall.cancel();
+      }
+    }
+
     @Override
     public void onComplete() {
       if (callEnded) {
@@ -178,6 +187,12 @@
       }
       try {
         List<PieceOutcome> outcomes = dialect.decodeOutcomes(call, body());
+        if (queue.repeatsResults(call.id(), outcomes)) {
+          // The true answer may still follow on this connection.
+          closeConnection();
+          failCall("the answer repeats results of an earlier call", false);
+          return;
+        }
         callEnded = true;
         long doneCount =
             outcomes.stream().filter(o -> o.status() == PieceOutcome.Status.DONE).count();
