--- a/gateway/src/main/java/org/oriolewell/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerExchange.java
@@ -55,7 +55,7 @@
    * caller's disconnection or by its answer. Checked before work is started for the caller, because
    * an event loop that is behind has not yet been told of the disconnection.
    */
-  boolean callerGone() {
+  boolean detectCallerGone() {
     if (state != State.ENDED) {
       connection.readArrivedInput();
     }
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -285,7 +285,7 @@
   }
 
   private void sendTo(UpstreamInstance upstream, @Nullable String lastEventId) {
-    if (exchange.callerGone()) {
+    if (exchange.detectCallerGone()) {
       return;
     }
     long now = components.loop().now();
@@ -361,7 +361,7 @@
   @Override
   public void onConnected() {
     // Cancels the attempt before the request is written if the caller has disconnected meanwhile.
-    exchange.callerGone();
+    exchange.detectCallerGone();
   }
 
   @Override
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestIntake.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestIntake.java
@@ -32,7 +32,7 @@
   void accept(CallerExchange exchange) {
     CallerRequest request = exchange.request();
     Intent intent = components.dialect().decode(request.headers());
-    if (exchange.callerGone()) {
+    if (exchange.detectCallerGone()) {
       components
           .log()
           .event(GatewayEvent.CALLER_GONE)
