Log the shared prompt parts of each attempt and how long a failed one had been written

UPSTREAM_CHOSEN now lists the parts that a request may share, UPSTREAM_FAILED the time since the first event. No decision changes.

--- a/gateway/src/main/java/org/oriolewell/gateway/RequestDialect.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestDialect.java
@@ -17,6 +17,7 @@
    * @param callerTimeout time for which the caller waits for an answer; null if not stated
    * @param apiKey API key; null if there is none
    * @param affinityHash hash of the part of the prompt that requests share; 0 if there is none
+   * @param sharedPromptParts ids of the prompt's parts but the last, which belongs to the request
    * @param pieceCounts number of pieces of each stage, by stage; empty if the request has no stages
    * @param pieceKey key that is sent with the pieces of stages without inputs; empty if not stated
    * @param lastEventId id of the event after which to resume a stream; null to start a new one
@@ -27,6 +28,7 @@
       @Nullable Duration callerTimeout,
       @Nullable String apiKey,
       long affinityHash,
+      List<String> sharedPromptParts,
       List<Integer> pieceCounts,
       String pieceKey,
       @Nullable String lastEventId) {}
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -222,6 +222,11 @@
         .write();
   }
 
+  private @Nullable String promptPartsForLog() {
+    List<String> parts = intent.sharedPromptParts();
+    return parts.isEmpty() ? null : String.join(",", parts);
+  }
+
   private void callUpstream(@Nullable String lastEventId) {
     if (requestEnded) {
       return;
@@ -310,6 +315,7 @@
         .with("in_flight", components.health().inFlight(upstream.id()))
         .with("failures", components.health().failureScore(upstream.id(), now))
         .with("resume_after", lastEventId)
+        .with("prompt_parts", promptPartsForLog())
         .with("remaining_ms", remaining.toMillis())
         .write();
     Additions additions =
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -95,6 +95,7 @@
   private AnswerProperties answerProperties = new AnswerProperties(false, false, false);
   private boolean streaming;
   private boolean firstByteReported;
+  private long firstByteAt;
   private boolean connectFailed;
   private boolean attemptEnded;
 
@@ -247,6 +248,7 @@
   private AnswerStream findOrStartStream() {
     if (!firstByteReported) {
       firstByteReported = true;
+      firstByteAt = components.loop().now();
       listener.onFirstByte();
     }
     AnswerStream currentStream = answerStream;
@@ -340,6 +342,10 @@
     listener.onIncomplete(upstream, reason);
   }
 
+  private long writingMillis() {
+    return GatewayComponents.millisBetween(firstByteAt, components.loop().now());
+  }
+
   private void logFailure(String reason) {
     components
         .log()
@@ -347,6 +353,7 @@
         .with("request", requestId)
         .with("upstream", upstream.id())
         .with("reason", reason)
+        .with("writing_ms", firstByteReported ? writingMillis() : null)
         .write();
   }
 }
