--- /dev/null
+++ b/core/src/main/java/org/oriolewell/core/quarantine/package-info.java
@@ -0,0 +1,5 @@
+/** Quarantine of prompt parts that crash model engines. */
+@NullMarked
+package org.oriolewell.core.quarantine;
+
+import org.jspecify.annotations.NullMarked;
--- a/gateway/src/main/java/org/oriolewell/gateway/ControlFeed.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlFeed.java
@@ -29,6 +29,12 @@
     /** A gateway was removed. */
     record PeerUnlisted(String name) implements Update {}
 
+    /** A prompt part is in quarantine; it is tried again after the given time. */
+    record PartQuarantined(String part, Duration trialDelay) implements Update {}
+
+    /** A prompt part is no longer in quarantine. */
+    record PartReleased(String part) implements Update {}
+
     /** An entry of the store could not be decoded and is ignored. */
     record Unreadable(String key, String problem) implements Update {}
   }
@@ -107,4 +113,15 @@
 
   /** Ends a lease, which removes the gateway's entry. */
   CompletableFuture<Void> endLease(long leaseId);
+
+  /**
+   * Writes that a prompt part is in quarantine.
+   *
+   * @param trialDelay time until the part is tried again
+   * @param lifetime time after which the entry expires
+   */
+  CompletableFuture<Void> quarantine(String part, Duration trialDelay, Duration lifetime);
+
+  /** Removes a prompt part from quarantine. */
+  CompletableFuture<Void> release(String part);
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
@@ -73,6 +73,7 @@
   private final ViewFreshness freshness;
   private final Map<String, Peer> peersByName = new HashMap<>();
   private final List<Runnable> changeListeners = new ArrayList<>();
+  private QuarantineListener quarantineListener = new QuarantineListener() {};
   private @Nullable RouteTable table;
   private boolean storeLost;
   private Duration retryDelay = FIRST_RETRY_DELAY;
@@ -84,6 +85,18 @@
   private boolean confirmingFreshness;
   private boolean unregistering;
 
+  /** Receives the entries of the store about prompt parts in quarantine. */
+  interface QuarantineListener {
+    /** Called when a part is listed as quarantined, or its entry has changed. */
+    default void onQuarantined(String part, Duration trialDelay) {}
+
+    /** Called when the entry of a part was removed. */
+    default void onReleased(String part) {}
+
+    /** Called with all listed parts when everything was read again. */
+    default void onSnapshot(Set<String> quarantinedParts) {}
+  }
+
   private ControlPlane(
       EventLoop loop,
       ControlFeed feed,
@@ -130,6 +143,11 @@
     changeListeners.add(task);
   }
 
+  /** Sets the receiver of the entries about prompt parts in quarantine. */
+  void quarantineListener(QuarantineListener listener) {
+    quarantineListener = listener;
+  }
+
   /** Returns the configuration in force, or null if none is known yet. */
   @Nullable RouteTable table() {
     return table;
@@ -275,18 +293,22 @@
   private void replaceAll(Batch batch) {
     List<UpstreamInstance> upstreams = new ArrayList<>();
     Set<String> listedNames = new HashSet<>();
+    Set<String> quarantinedParts = new HashSet<>();
     for (Update update : batch.updates()) {
       if (update instanceof Update.UpstreamListed listed) {
         upstreams.add(listed.upstream());
       } else {
         if (update instanceof Update.PeerListed listed) {
           listedNames.add(listed.peer().name());
+        } else if (update instanceof Update.PartQuarantined listed) {
+          quarantinedParts.add(listed.part());
         }
         applyUpdate(update);
       }
     }
     roster.replaceAll(upstreams, loop.now());
     peersByName.keySet().retainAll(listedNames);
+    quarantineListener.onSnapshot(quarantinedParts);
   }
 
   private void applyUpdate(Update update) {
@@ -303,6 +325,10 @@
       }
     } else if (update instanceof Update.PeerUnlisted unlisted) {
       peersByName.remove(unlisted.name());
+    } else if (update instanceof Update.PartQuarantined quarantined) {
+      quarantineListener.onQuarantined(quarantined.part(), quarantined.trialDelay());
+    } else if (update instanceof Update.PartReleased released) {
+      quarantineListener.onReleased(released.part());
     } else if (update instanceof Update.Unreadable unreadable) {
       log.event(GatewayEvent.ENTRY_UNREADABLE)
           .with("key", unreadable.key())
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -77,10 +77,11 @@
             settings.value(GatewaySettings.PEER_ADDRESS),
             settings.value(GatewaySettings.ZONE),
             settings.value(GatewaySettings.REGION));
+    ControlFeed feed = platformAdapter.controlFeed(settings, store);
     control =
         ControlPlane.create(
             loop,
-            platformAdapter.controlFeed(settings, store),
+            feed,
             self,
             settings.value(GatewaySettings.KEY_REVOCATION_LIMIT),
             settings.value(GatewaySettings.LAPSE_GRACE),
@@ -94,6 +95,9 @@
     mesh =
         PeerMesh.start(
             loop, control, stageCoordinator, settings.value(GatewaySettings.PEER_ADDRESS), log);
+    ObservationExchange exchange = new ObservationExchange(loop, mesh, self.name());
+    mesh.observationListener(exchange);
+    PromptGuard promptGuard = new PromptGuard(loop, control, feed, client, exchange, log);
     GatewayComponents components =
         new GatewayComponents(
             loop,
@@ -112,6 +116,7 @@
                 settings.value(GatewaySettings.RETRY_SLACK),
                 Duration.ofSeconds(settings.value(GatewaySettings.RETRY_WINDOW)),
                 () -> control.peers().size() + 1),
+            promptGuard,
             settings.value(GatewaySettings.MAX_ANSWER_BYTES),
             metrics,
             log);
@@ -125,6 +130,7 @@
             () -> {
               metrics.setInFlight(intake.inFlight());
               metrics.setViewAge(control.ageMillis() / 1000.0);
+              metrics.setQuarantined(promptGuard.quarantinedCount());
             });
     EventLoop.Listener operatorListener =
         listenHttp(settings.value(GatewaySettings.OPERATOR_ADDRESS), operatorsHandler);
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayComponents.java
@@ -25,6 +25,7 @@
  * @param forecastBias observed error of the expected times, by route
  * @param callerPatience estimates how long callers have waited in earlier attempts
  * @param retryBudget limit on retries, shared by all gateways
+ * @param promptGuard quarantine of prompt parts that crash engines
  * @param maxAnswerBytes largest accepted body of an upstream's answer, and largest event of a
  *     stream, in bytes
  * @param metrics Prometheus metrics
@@ -43,6 +44,7 @@
     ForecastBias forecastBias,
     CallerPatience callerPatience,
     SharedRetryBudget retryBudget,
+    PromptGuard promptGuard,
     int maxAnswerBytes,
     GatewayMetrics metrics,
     EventLog log) {
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -42,7 +42,17 @@
   STAGE_REFUSED(
       8042,
       Level.WARNING,
-      "Another gateway handed over a stage of a service that is unknown here; its request fails.");
+      "Another gateway handed over a stage of a service that is unknown here; its request fails."),
+  ENGINE_CRASHED(
+      8050,
+      Level.WARNING,
+      "An engine closed connections before its answers were whole and accepts no new ones; the"
+          + " fields list the requests of this gateway there."),
+  PROMPT_QUARANTINED(
+      8051,
+      Level.WARNING,
+      "Requests with a prompt part crashed several engines; such requests are refused."),
+  PROMPT_RELEASED(8052, Level.INFO, "Requests with a prompt part are accepted again.");
 
   private final Description description;
 
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
@@ -18,6 +18,7 @@
   private final Histogram firstByteSeconds;
   private final Gauge inFlight;
   private final Gauge viewAge;
+  private final Gauge quarantinedParts;
 
   private GatewayMetrics(PrometheusRegistry registry) {
     requests =
@@ -56,6 +57,11 @@
             .name("oriolewell_gateway_view_age_seconds")
             .help("Age of the copy of configuration and keys; -1 if nothing is confirmed.")
             .register(registry);
+    quarantinedParts =
+        Gauge.builder()
+            .name("oriolewell_gateway_quarantined_prompt_parts")
+            .help("Prompt parts whose requests are refused since they crash engines.")
+            .register(registry);
   }
 
   /** Creates the metrics and registers them. */
@@ -88,6 +94,11 @@
     inFlight.set(requestCount);
   }
 
+  /** Sets the number of prompt parts in quarantine. */
+  void setQuarantined(int partCount) {
+    quarantinedParts.set(partCount);
+  }
+
   /** Sets the age of the copy of the configuration; -1 if it was never confirmed. */
   void setViewAge(double seconds) {
     viewAge.set(seconds);
--- /dev/null
+++ b/gateway/src/main/java/org/oriolewell/gateway/ObservationExchange.java
@@ -0,0 +1,95 @@
+package org.oriolewell.gateway;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.oriolewell.runtime.net.EventLoop;
+import org.oriolewell.runtime.wire.Message;
+
+/**
+ * Tells the other gateways what this one has observed about upstreams and prompt parts, and passes
+ * on what they have observed. An observation is sent when it is made, and once more to each gateway
+ * that connects while it is recent. It may be lost, or arrive repeatedly or late.
+ *
+ * <p>Used on the event loop only.
+ */
+final class ObservationExchange implements PeerMesh.ObservationListener {
+  /** Age up to which a gateway that connects is sent an observation. */
+  private static final Duration REPLAY_TIME = Duration.ofSeconds(60);
+
+  /** Most own observations that are kept for gateways that connect; the oldest are dropped. */
+  private static final int MAX_KEPT = 256;
+
+  /** What an observation is about. The order is part of the protocol. */
+  enum Kind {
+    /** The subject, one start of an engine, crashed; the details list the requests there. */
+    ENGINE_CRASHED,
+    /** A prompt with the subject, a part, was answered soundly. */
+    PART_ANSWERED,
+    /** The subject, a part, is in quarantine; the value is the time until a trial in ms. */
+    PART_QUARANTINED
+  }
+
+  private static final Kind[] KINDS = Kind.values();
+
+  private record Kept(Message.Observation observation, long madeAt) {}
+
+  private final EventLoop loop;
+  private final PeerMesh mesh;
+  private final String gatewayName;
+  private final Map<Kind, Consumer<Message.Observation>> receivers = new EnumMap<>(Kind.class);
+  private final Deque<Kept> kept = new ArrayDeque<>();
+
+  ObservationExchange(EventLoop loop, PeerMesh mesh, String gatewayName) {
+    this.loop = loop;
+    this.mesh = mesh;
+    this.gatewayName = gatewayName;
+  }
+
+  /** Sets the receiver of the other gateways' observations of a kind. */
+  void onObservation(Kind kind, Consumer<Message.Observation> receiver) {
+    receivers.put(kind, receiver);
+  }
+
+  /** Sends an observation of this gateway to all others. */
+  void publish(Kind kind, String subject, double value, List<String> details) {
+    Message.Observation observation =
+        new Message.Observation(kind.ordinal(), subject, gatewayName, 0, value, details);
+    kept.addLast(new Kept(observation, loop.now()));
+    if (kept.size() > MAX_KEPT) {
+      kept.removeFirst();
+    }
+    mesh.broadcast(observation, true);
+  }
+
+  @Override
+  public void onObservation(Message.Observation observation) {
+    if (observation.kind() >= 0 && observation.kind() < KINDS.length) {
+      Consumer<Message.Observation> receiver = receivers.get(KINDS[observation.kind()]);
+      if (receiver != null) {
+        receiver.accept(observation);
+      }
+    }
+  }
+
+  @Override
+  public List<Message.Observation> currentObservations() {
+    long now = loop.now();
+    kept.removeIf(entry -> now - entry.madeAt() > REPLAY_TIME.toNanos());
+    return kept.stream()
+        .map(
+            entry ->
+                new Message.Observation(
+                    entry.observation().kind(),
+                    entry.observation().subject(),
+                    entry.observation().origin(),
+                    GatewayComponents.millisBetween(entry.madeAt(), now),
+                    entry.observation().value(),
+                    entry.observation().details()))
+        .toList();
+  }
+}
--- a/gateway/src/main/java/org/oriolewell/gateway/PeerMesh.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/PeerMesh.java
@@ -63,9 +63,19 @@
     void onPeersChanged();
   }
 
+  /** Exchanges observations with the other gateways. */
+  interface ObservationListener {
+    /** Called for an observation of another gateway. */
+    void onObservation(Message.Observation observation);
+
+    /** Returns the observations of this gateway that a gateway needs which has just connected. */
+    List<Message.Observation> currentObservations();
+  }
+
   private final EventLoop loop;
   private final ControlPlane control;
   private final Handler handler;
+  private @Nullable ObservationListener observationListener;
   private final EventLog log;
   private final Map<String, Link> linksByName = new HashMap<>();
   private final Map<WireConnection, Origin> originsByConnection = new HashMap<>();
@@ -125,6 +135,11 @@
           peerDraining = pong.load().draining();
           handler.onPeersChanged();
         }
+      } else if (message instanceof Message.Observation observation) {
+        ObservationListener currentListener = observationListener;
+        if (currentListener != null) {
+          currentListener.onObservation(observation);
+        }
       } else {
         handler.onAnswer(message);
       }
@@ -192,6 +207,10 @@
         originsByConnection.put(
             connection, new Origin(hello.process() + "#" + nextOriginNumber++, hello.region()));
         connection.send(hello());
+        ObservationListener currentListener = observationListener;
+        if (currentListener != null) {
+          currentListener.currentObservations().forEach(connection::send);
+        }
       } else if (message instanceof Message.Ping ping) {
         connection.send(new Message.Pong(ping.sequence(), 0, ownLoad(), Map.of()));
       } else {
@@ -246,6 +265,11 @@
     return mesh;
   }
 
+  /** Sets the receiver of other gateways' observations. */
+  void observationListener(ObservationListener listener) {
+    observationListener = listener;
+  }
+
   /**
    * Returns whether this gateway can dispatch stages. A gateway without a configuration can't; it
    * reports itself to its peers as draining.
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.overload.StageAdmission.Decision;
+import org.oriolewell.core.quarantine.PromptQuarantine;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.RequestKind;
 import org.oriolewell.core.route.Route;
@@ -25,7 +26,7 @@
  * Processes one caller's request until its final answer: admission, stages, attempts at upstreams,
  * retries. Used on the event loop only.
  */
-final class RequestFlow implements UpstreamAttempt.Listener {
+final class RequestFlow implements UpstreamAttempt.Listener, PromptGuard.PendingRequest {
   /** Number of route priorities that rank between two workspace priorities. */
   private static final int RANKS_PER_WORKSPACE_PRIORITY = 16;
 
@@ -91,6 +92,9 @@
   /** Whether the retry budget has granted the next attempt already. */
   private boolean retryGranted;
 
+  /** Quarantined prompt part whose trial this request is; null if it is none. */
+  private @Nullable String trialPart;
+
   private boolean requestEnded;
   private final List<EventLoop.Timer> timers = new ArrayList<>();
 
@@ -137,8 +141,12 @@
   /** Starts processing: admission and stages if the request has pieces, else an upstream call. */
   void start() {
     exchange.onCallerGone(this::onCallerLeft);
+    components.promptGuard().requestStarted(this);
     Duration untilDeadline = Duration.ofNanos(deadline - components.loop().now());
     timers.add(components.loop().after(untilDeadline, this::onTimeout));
+    if (heldBack()) {
+      return;
+    }
     if (intent.pieceCounts().stream().anyMatch(pieces -> pieces > 0)) {
       decideAdmission();
     } else {
@@ -147,6 +155,48 @@
     }
   }
 
+  /** Refuses the request if a part of its prompt is quarantined; returns whether it did. */
+  private boolean heldBack() {
+    PromptQuarantine.Decision decision =
+        components.promptGuard().decide(intent.sharedPromptParts());
+    if (decision instanceof PromptQuarantine.Decision.HoldBack holdBack) {
+      refuseQuarantined(holdBack.part(), holdBack.retryAfter());
+      return true;
+    }
+    if (decision instanceof PromptQuarantine.Decision.Trial trial) {
+      trialPart = trial.part();
+    }
+    return false;
+  }
+
+  private void refuseQuarantined(String part, Duration retryAfter) {
+    String reason = "prompt part " + part + " crashes engines";
+    if (mayHaveExecuted) {
+      fail(reason, 502);
+    } else {
+      refuse(reason, "prompt part quarantined", retryAfter);
+    }
+  }
+
+  @Override
+  public List<String> sharedPromptParts() {
+    return intent.sharedPromptParts();
+  }
+
+  @Override
+  public void onQuarantined(String part) {
+    UpstreamAttempt currentAttempt = attempt;
+    boolean waiting = currentAttempt == null || !currentAttempt.mayHaveBeenSent();
+    if (requestEnded || part.equals(trialPart)) {
+      return;
+    }
+    if (waiting) {
+      heldBack();
+    } else if (firstByteMillis < 0) {
+      fail("prompt part " + part + " crashes engines", 502);
+    }
+  }
+
   private void decideAdmission() {
     int[] pieces = intent.pieceCounts().stream().mapToInt(Integer::intValue).toArray();
     StageProgress progress = StageProgress.of(route.stages(), pieces);
@@ -235,6 +285,9 @@
       refuse("keys not confirmed before the call", "keys not confirmed", NO_UPSTREAM_RETRY_AFTER);
       return;
     }
+    if (trialPart == null && heldBack()) {
+      return;
+    }
     Optional<UpstreamInstance> chosenUpstream = chooseUpstream();
     if (chosenUpstream.isEmpty()) {
       if (mayHaveExecuted) {
@@ -336,7 +389,14 @@
             exchange.request().body(),
             intent.attemptId());
     UpstreamAttempt newAttempt =
-        new UpstreamAttempt(components, route, requestId(), upstream, answerStream, this);
+        new UpstreamAttempt(
+            components,
+            route,
+            requestId(),
+            intent.sharedPromptParts(),
+            upstream,
+            answerStream,
+            this);
     attempt = newAttempt;
     attemptStartedAt = now;
     newAttempt.start(request, inactivityTimeout());
@@ -448,7 +508,15 @@
   @Override
   public void onIncomplete(UpstreamInstance upstream, String reason) {
     mayHaveExecuted = true;
-    if (route.repeatable() && attemptCount < route.maxAttempts() && mayRetry()) {
+    String part = trialPart;
+    if (part != null) {
+      components.promptGuard().trialFailed(part);
+    }
+    boolean repeatable =
+        route.repeatable()
+            && part == null
+            && components.promptGuard().mayRepeat(intent.sharedPromptParts());
+    if (repeatable && attemptCount < route.maxAttempts() && mayRetry()) {
       callUpstream(lastForwardedEventId());
     } else {
       fail(reason, 502);
@@ -554,6 +622,7 @@
 
   private void finish(String outcome) {
     requestEnded = true;
+    components.promptGuard().requestEnded(this);
     timers.forEach(EventLoop.Timer::cancel);
     UpstreamAttempt currentAttempt = attempt;
     if (currentAttempt != null) {
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -154,7 +154,7 @@
     private void start() {
       clientCall =
           client.send(
-              call.upstream().id() + "/" + call.upstream().startedMillis(),
+              UpstreamClient.poolKey(call.upstream()),
               call.upstream().address(),
               dialect.runRequest(call, startedAt),
               this);
@@ -260,7 +260,7 @@
     boolean[] callEnded = new boolean[1];
     UpstreamClient.Call call =
         client.send(
-            producer.id() + "/" + producer.startedMillis(),
+            UpstreamClient.poolKey(producer),
             producer.address(),
             dialect.releaseRequest(producer, handles),
             new BufferedAnswer(MAX_STAGE_ANSWER_BYTES, MAX_STAGE_ANSWER_BYTES_NAME) {
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -1,6 +1,7 @@
 package org.oriolewell.gateway;
 
 import java.time.Duration;
+import java.util.List;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.jspecify.annotations.Nullable;
@@ -82,6 +83,7 @@
   private final GatewayComponents components;
   private final Route route;
   private final String requestId;
+  private final List<String> promptParts;
   private final UpstreamInstance upstream;
   private final Listener listener;
   private final EventSplitter eventSplitter = EventSplitter.create();
@@ -97,23 +99,28 @@
   private boolean firstByteReported;
   private long firstByteAt;
   private boolean connectFailed;
+
+  private boolean soundReported;
   private boolean attemptEnded;
 
   /**
    * Creates an attempt that has not been sent.
    *
+   * @param promptParts ids of the prompt's parts that other requests may share
    * @param answerStream stream to the caller that this attempt resumes; null if none was started
    */
   UpstreamAttempt(
       GatewayComponents components,
       Route route,
       String requestId,
+      List<String> promptParts,
       UpstreamInstance upstream,
       @Nullable AnswerStream answerStream,
       Listener listener) {
     this.components = components;
     this.route = route;
     this.requestId = requestId;
+    this.promptParts = promptParts;
     this.upstream = upstream;
     this.answerStream = answerStream;
     this.listener = listener;
@@ -133,8 +140,7 @@
     call =
         components
             .client()
-            .send(
-                upstream.id() + "/" + upstream.startedMillis(), upstream.address(), request, this);
+            .send(UpstreamClient.poolKey(upstream), upstream.address(), request, this);
   }
 
   /** Returns whether the upstream may have received the request. */
@@ -241,6 +247,9 @@
 
   private void forwardEvent(EventSplitter.Event event) {
     AnswerStream currentStream = findOrStartStream();
+    if (!soundReported && writingMillis() >= PromptGuard.SOUND_WRITING_TIME.toMillis()) {
+      reportSound();
+    }
     listener.onStreamContent(event.bytes());
     currentStream.eventForwarded(event.id());
   }
@@ -260,18 +269,35 @@
     return currentStream;
   }
 
+  private void reportSound() {
+    soundReported = true;
+    components.promptGuard().answered(promptParts);
+  }
+
+  private void reportConnectionLost() {
+    if (!soundReported) {
+      components.promptGuard().connectionLost(upstream, requestId, promptParts);
+    }
+  }
+
   @Override
   public void onComplete() {
     if (attemptEnded) {
       return;
     }
+    endAnswer();
+  }
+
+  private void endAnswer() {
     if (streaming) {
       if (eventSplitter.midEvent()) {
+        reportConnectionLost();
         endIncomplete("the stream ended in the middle of an event");
         return;
       }
       findOrStartStream();
       finish();
+      reportSound();
       components.health().succeeded(upstream.id(), components.loop().now());
       listener.onStreamComplete();
       return;
@@ -310,6 +336,7 @@
       }
     } else {
       components.health().succeeded(upstream.id(), now);
+      reportSound();
     }
     listener.onFirstByte();
     listener.onAnswer(status, EndToEndHeaders.of(headers), body.toByteArray());
@@ -321,6 +348,7 @@
       return;
     }
     if (mayHaveBeenSent) {
+      reportConnectionLost();
       endIncomplete(cause.toString());
       return;
     }
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
@@ -1,6 +1,7 @@
 package org.oriolewell.gateway;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -9,7 +10,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.runtime.net.EventLoop;
 
 /**
@@ -156,6 +159,35 @@
     }
   }
 
+  /** Returns the key of the connections to one start of an upstream. */
+  static String poolKey(UpstreamInstance upstream) {
+    return upstream.id() + "/" + upstream.startedMillis();
+  }
+
+  /**
+   * Checks whether an upstream accepts connections. A connection that opens is kept for reuse.
+   *
+   * @param onResult called with false if the upstream's host refuses connections to the address,
+   *     and with true otherwise, also if there is no answer
+   */
+  void checkAccepting(String poolKey, String address, Consumer<Boolean> onResult) {
+    Pool pool = poolsByKey.computeIfAbsent(poolKey, p -> new Pool());
+    loop.connect(
+        parseAddress(address),
+        endPoint -> {
+          UpstreamConnection connection =
+              new UpstreamConnection(endPoint, executor, loop, pool, attemptIdHeader);
+          loop.execute(
+              () -> {
+                pool.openCount++;
+                pool.onIdle(connection);
+                onResult.accept(true);
+              });
+          return connection;
+        },
+        failure -> onResult.accept(!(failure instanceof ConnectException)));
+  }
+
   /** Parses an address of the form {@code IP:PORT}; host names aren't resolved. */
   static InetSocketAddress parseAddress(String address) {
     int colon = address.lastIndexOf(':');
--- a/runtime/src/main/java/org/oriolewell/runtime/wire/Message.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/wire/Message.java
@@ -398,4 +398,19 @@
       List<Integer> calls,
       List<Integer> announced)
       implements Message {}
+
+  /**
+   * What one gateway has observed about an upstream or a prompt part. A gateway sends its
+   * observations when they are made, and those that still hold to a gateway that connects.
+   *
+   * @param kind number of the kind of observation
+   * @param subject identifier of what was observed
+   * @param origin name of the gateway that made the observation
+   * @param ageMillis time since the observation was made, in milliseconds
+   * @param value observed value; 0 if the kind has none
+   * @param details further identifiers, as the kind defines them
+   */
+  record Observation(
+      int kind, String subject, String origin, long ageMillis, double value, List<String> details)
+      implements Message {}
 }
--- a/runtime/src/main/java/org/oriolewell/runtime/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/wire/MessageCodec.java
@@ -44,6 +44,7 @@
   private static final int STAGE_RELEASE = 23;
   private static final int STAGE_LOAD_REPORT = 24;
   private static final int STAGE_ANNOUNCE = 25;
+  private static final int OBSERVATION = 26;
 
   private MessageCodec() {}
 
@@ -177,6 +178,10 @@
       writeInts(out, m.ranks());
       writeInts(out, m.calls());
       writeInts(out, m.announced());
+    } else if (message instanceof Message.Observation m) {
+      writeHeader(out, 7, OBSERVATION).packInt(m.kind()).packString(m.subject());
+      out.packString(m.origin()).packLong(m.ageMillis()).packDouble(m.value());
+      writeStrings(out, m.details());
     }
   }
 
@@ -326,6 +331,14 @@
               in.unpackInt(),
               in.unpackLong(),
               in.unpackInt());
+      case OBSERVATION ->
+          new Message.Observation(
+              in.unpackInt(),
+              in.unpackString(),
+              in.unpackString(),
+              in.unpackLong(),
+              in.unpackDouble(),
+              readStrings(in));
       default -> throw new WireException("message type " + typeNumber + " is unknown");
     };
   }
--- a/runtime/src/test/java/org/oriolewell/runtime/wire/WireTest.java
+++ b/runtime/src/test/java/org/oriolewell/runtime/wire/WireTest.java
@@ -75,7 +75,8 @@
             new Message.StageRelease("s", "g", List.of("h")),
             new Message.StageLoadReport(
                 "s", "r", 2, 280, 30, List.of(1, 2), List.of(500, 1500), List.of(0, 7)),
-            new Message.StageAnnounce(19, "s", "g", 2, 60_000, 6));
+            new Message.StageAnnounce(19, "s", "g", 2, 60_000, 6),
+            new Message.Observation(1, "e1", "g1", 250, 0.5, List.of("r1 a b", "r2 c")));
 
     WireConnection connection = client.connect(server.address(), new RecordingListener()).get();
     messages.forEach(connection::send);
