Don't pass on a stream without a length as whole if its engine crashed

An answer with neither a length nor chunks ends with its connection, so the crash of an engine between two events, or before the first one, was passed on to the caller as the regular end of the stream. The gateway now asks for a connection before it ends such an answer of an engine that is still listed (the connection is kept for the next request); if it is refused, the answer is incomplete and the crash counts as evidence against its prompt. A stream without any event is never whole.

--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -100,6 +100,9 @@
   private long firstByteAt;
   private boolean connectFailed;
 
+  /** Whether the answer has neither a length nor chunks and ends with its connection. */
+  private boolean endsAtClose;
+
   private boolean soundReported;
   private boolean attemptEnded;
 
@@ -214,6 +217,9 @@
     }
     status = answerStatus;
     headers = answerHeaders;
+    endsAtClose =
+        !headers.contains(HttpHeader.CONTENT_LENGTH)
+            && !headers.contains(HttpHeader.TRANSFER_ENCODING);
     answerProperties = components.dialect().checkAnswer(requestId, status, headers);
     String type = headers.get(HttpHeader.CONTENT_TYPE);
     streaming =
@@ -285,7 +291,30 @@
     if (attemptEnded) {
       return;
     }
-    endAnswer();
+    boolean engineListed =
+        components.control().roster().usable(upstream.service()).contains(upstream);
+    if (endsAtClose && !promptParts.isEmpty() && engineListed) {
+      // The end of such an answer looks the same as that of an engine that crashes.
+      stopInactivityTimer();
+      components
+          .client()
+          .checkAccepting(
+              UpstreamClient.poolKey(upstream), upstream.address(), this::endUnframedAnswer);
+    } else {
+      endAnswer();
+    }
+  }
+
+  private void endUnframedAnswer(boolean engineAccepting) {
+    if (attemptEnded) {
+      return;
+    }
+    if (engineAccepting) {
+      endAnswer();
+    } else {
+      reportConnectionLost();
+      endIncomplete("the engine ended together with an answer that has no length");
+    }
   }
 
   private void endAnswer() {
@@ -295,6 +324,11 @@
         endIncomplete("the stream ended in the middle of an event");
         return;
       }
+      if (endsAtClose && !firstByteReported) {
+        reportConnectionLost();
+        endIncomplete("the stream ended before its first event");
+        return;
+      }
       findOrStartStream();
       finish();
       reportSound();
