--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayComponents.java
@@ -26,6 +26,7 @@
  * @param callerPatience estimates how long callers have waited in earlier attempts
  * @param retryBudget limit on retries, shared by all gateways
  * @param promptGuard quarantine of prompt parts that crash engines
+ * @param upstreamLimits limits that upstreams name in their answers
  * @param maxAnswerBytes largest accepted body of an upstream's answer, and largest event of a
  *     stream, in bytes
  * @param metrics Prometheus metrics
@@ -45,6 +46,7 @@
     CallerPatience callerPatience,
     SharedRetryBudget retryBudget,
     PromptGuard promptGuard,
+    UpstreamLimits upstreamLimits,
     int maxAnswerBytes,
     GatewayMetrics metrics,
     EventLog log) {
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -52,7 +52,11 @@
       8051,
       Level.WARNING,
       "Requests with a prompt part crashed several engines; such requests are refused."),
-  PROMPT_RELEASED(8052, Level.INFO, "Requests with a prompt part are accepted again.");
+  PROMPT_RELEASED(8052, Level.INFO, "Requests with a prompt part are accepted again."),
+  UPSTREAM_LIMITED(
+      8053,
+      Level.INFO,
+      "An upstream named another limit of requests a second for all gateways together, or none.");
 
   private final Description description;
 
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestDialect.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestDialect.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalDouble;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.roster.UpstreamInstance;
@@ -57,8 +58,15 @@
    * @param authentic whether it carries the attempt's identifier and an upstream's seal header
    * @param notExecuted whether the upstream states that it did not and will not execute the request
    * @param misdirected whether the address now belongs to another upstream
+   * @param limitPerSecond requests a second that the upstream takes from all gateways together;
+   *     empty if it names no limit
    */
-  record AnswerProperties(boolean authentic, boolean notExecuted, boolean misdirected) {}
+  record AnswerProperties(
+      boolean authentic, boolean notExecuted, boolean misdirected, OptionalDouble limitPerSecond) {
+    /** Properties of an answer that has not been received. */
+    static final AnswerProperties NONE =
+        new AnswerProperties(false, false, false, OptionalDouble.empty());
+  }
 
   /** Decodes a caller's headers; a malformed value counts as missing. */
   Intent decode(HttpFields callerHeaders);
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -94,7 +94,7 @@
   private @Nullable Duration inactivityTimeout;
   private int status;
   private HttpFields headers = HttpFields.EMPTY;
-  private AnswerProperties answerProperties = new AnswerProperties(false, false, false);
+  private AnswerProperties answerProperties = AnswerProperties.NONE;
   private boolean streaming;
   private boolean firstByteReported;
   private long firstByteAt;
@@ -221,6 +221,7 @@
         !headers.contains(HttpHeader.CONTENT_LENGTH)
             && !headers.contains(HttpHeader.TRANSFER_ENCODING);
     answerProperties = components.dialect().checkAnswer(requestId, status, headers);
+    components.upstreamLimits().stated(upstream, answerProperties.limitPerSecond());
     String type = headers.get(HttpHeader.CONTENT_TYPE);
     streaming =
         route.kind() == RequestKind.STREAMING
