--- a/core/src/main/java/org/oriolewell/core/ratelimit/NamedLimits.java
+++ b/core/src/main/java/org/oriolewell/core/ratelimit/NamedLimits.java
@@ -66,6 +66,11 @@
     return known == null ? OptionalLong.empty() : OptionalLong.of(known.statedAt());
   }
 
+  /** Returns whether no upstream has named a limit. */
+  public boolean isEmpty() {
+    return statementsByUpstream.isEmpty();
+  }
+
   /** Forgets the upstreams that are no longer listed. */
   public void retain(Predicate<String> listed) {
     statementsByUpstream.keySet().removeIf(upstream -> !listed.test(upstream));
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -117,7 +117,7 @@
                 Duration.ofSeconds(settings.value(GatewaySettings.RETRY_WINDOW)),
                 () -> control.peers().size() + 1),
             promptGuard,
-            new UpstreamLimits(loop, log),
+            new UpstreamLimits(loop, control, mesh, regions, exchange, log),
             settings.value(GatewaySettings.MAX_ANSWER_BYTES),
             metrics,
             log);
--- a/gateway/src/main/java/org/oriolewell/gateway/ObservationExchange.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ObservationExchange.java
@@ -31,7 +31,12 @@
     /** A prompt with the subject, a part, was answered soundly. */
     PART_ANSWERED,
     /** The subject, a part, is in quarantine; the value is the time until a trial in ms. */
-    PART_QUARANTINED
+    PART_QUARANTINED,
+    /**
+     * The subject, one start of an upstream, has named the value as its limit in requests a second,
+     * or none if the value is negative.
+     */
+    UPSTREAM_LIMITED
   }
 
   private static final Kind[] KINDS = Kind.values();
@@ -57,8 +62,7 @@
 
   /** Sends an observation of this gateway to all others. */
   void publish(Kind kind, String subject, double value, List<String> details) {
-    Message.Observation observation =
-        new Message.Observation(kind.ordinal(), subject, gatewayName, 0, value, details);
+    Message.Observation observation = observation(kind, subject, value, details);
     kept.addLast(new Kept(observation, loop.now()));
     if (kept.size() > MAX_KEPT) {
       kept.removeFirst();
@@ -66,6 +70,16 @@
     mesh.broadcast(observation, true);
   }
 
+  /** Sends an observation of this gateway to one other; it is lost if that isn't connected. */
+  void send(String receiver, Kind kind, String subject, double value) {
+    mesh.send(receiver, observation(kind, subject, value, List.of()));
+  }
+
+  private Message.Observation observation(
+      Kind kind, String subject, double value, List<String> details) {
+    return new Message.Observation(kind.ordinal(), subject, gatewayName, 0, value, details);
+  }
+
   @Override
   public void onObservation(Message.Observation observation) {
     if (observation.kind() >= 0 && observation.kind() < KINDS.length) {
--- a/gateway/src/main/java/org/oriolewell/gateway/PeerMesh.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/PeerMesh.java
@@ -72,10 +72,20 @@
     List<Message.Observation> currentObservations();
   }
 
+  /** Receives requests for permits, and the answers to those of this gateway. */
+  interface PermitListener {
+    /** Called for a request of a gateway that connected to this one. */
+    void onPermitRequest(WireConnection connection, Message.PermitRequest request);
+
+    /** Called for an answer. */
+    void onPermitReply(Message.PermitReply reply);
+  }
+
   private final EventLoop loop;
   private final ControlPlane control;
   private final Handler handler;
   private @Nullable ObservationListener observationListener;
+  private @Nullable PermitListener permitListener;
   private final EventLog log;
   private final Map<String, Link> linksByName = new HashMap<>();
   private final Map<WireConnection, Origin> originsByConnection = new HashMap<>();
@@ -136,9 +146,11 @@
           handler.onPeersChanged();
         }
       } else if (message instanceof Message.Observation observation) {
-        ObservationListener currentListener = observationListener;
+        receivedObservation(observation);
+      } else if (message instanceof Message.PermitReply reply) {
+        PermitListener currentListener = permitListener;
         if (currentListener != null) {
-          currentListener.onObservation(observation);
+          currentListener.onPermitReply(reply);
         }
       } else {
         handler.onAnswer(message);
@@ -213,6 +225,13 @@
         }
       } else if (message instanceof Message.Ping ping) {
         connection.send(new Message.Pong(ping.sequence(), 0, ownLoad(), Map.of()));
+      } else if (message instanceof Message.Observation observation) {
+        receivedObservation(observation);
+      } else if (message instanceof Message.PermitRequest request) {
+        PermitListener currentListener = permitListener;
+        if (currentListener != null) {
+          currentListener.onPermitRequest(connection, request);
+        }
       } else {
         Origin origin = originsByConnection.get(connection);
         if (origin != null) {
@@ -270,6 +289,18 @@
     observationListener = listener;
   }
 
+  /** Sets the receiver of messages about permits. */
+  void permitListener(PermitListener listener) {
+    permitListener = listener;
+  }
+
+  private void receivedObservation(Message.Observation observation) {
+    ObservationListener currentListener = observationListener;
+    if (currentListener != null) {
+      currentListener.onObservation(observation);
+    }
+  }
+
   /**
    * Returns whether this gateway can dispatch stages. A gateway without a configuration can't; it
    * reports itself to its peers as draining.
@@ -343,6 +374,26 @@
         : Objects.requireNonNullElse(highestRankedName(hashKey, null), selfName());
   }
 
+  /**
+   * Returns the gateway that issues the permits for an upstream: the first by rendezvous hashing
+   * among the usable gateways of the upstream's region. Gateways of other regions issue permits
+   * only if the region has none: those that are cut off from it must not issue permits of their
+   * own.
+   *
+   * @param region region of the upstream
+   * @return its name; null if the region has gateways but none of them is usable
+   */
+  @Nullable String issuerName(String upstream, String region) {
+    long hashKey = Hashing.of(upstream);
+    String bestName = highestRankedName(hashKey, region);
+    if (bestName != null) {
+      return bestName;
+    }
+    boolean regionHasGateways =
+        control.peers().stream().anyMatch(peer -> peer.region().equals(region));
+    return regionHasGateways ? null : highestRankedName(hashKey, null);
+  }
+
   private String selfName() {
     return control.self().name();
   }
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.overload.StageAdmission.Decision;
@@ -77,6 +79,10 @@
   private int rank;
   private final String serviceName;
   private final Set<String> triedUpstreams = new HashSet<>();
+
+  /** Limited upstreams for which this request was refused a permit. */
+  private final Set<String> permitRefusals = new HashSet<>();
+
   private String region;
   private @Nullable StageRun stageRun;
   private List<String> inputHandles = List.of();
@@ -230,7 +236,7 @@
             requestId(),
             intent.pieceKey(),
             region,
-            chooseEngine().map(UpstreamInstance::zone).orElse(""),
+            chooseEngine(this::permitPossible).map(UpstreamInstance::zone).orElse(""),
             rank,
             firstByteDueAt,
             deadline,
@@ -288,28 +294,82 @@
     if (trialPart == null && heldBack()) {
       return;
     }
-    Optional<UpstreamInstance> chosenUpstream = chooseUpstream();
+    Optional<UpstreamInstance> chosenUpstream = chooseUpstream(this::permitPossible);
     if (chosenUpstream.isEmpty()) {
-      if (mayHaveExecuted) {
-        fail("no other upstream is left", 502);
-      } else {
-        refuse("no upstream of " + serviceName, "no upstream", NO_UPSTREAM_RETRY_AFTER);
-      }
+      refuseWithoutUpstream();
+    } else if (components.upstreamLimits().limited(chosenUpstream.get())) {
+      requestPermit(chosenUpstream.get(), lastEventId);
+    } else {
+      sendTo(chosenUpstream.get(), lastEventId);
+    }
+  }
+
+  private boolean permitPossible(UpstreamInstance upstream) {
+    return !permitRefusals.contains(upstream.id()) && blockedTime(upstream).isZero();
+  }
+
+  private Duration blockedTime(UpstreamInstance upstream) {
+    return components.upstreamLimits().blockedTime(upstream, rank);
+  }
+
+  private void requestPermit(UpstreamInstance upstream, @Nullable String lastEventId) {
+    components
+        .upstreamLimits()
+        .requestPermit(
+            upstream,
+            rank,
+            granted -> {
+              if (requestEnded) {
+                return;
+              }
+              if (!granted) {
+                permitRefusals.add(upstream.id());
+                callUpstream(lastEventId);
+              } else if (trialPart != null || !heldBack()) {
+                sendTo(upstream, lastEventId);
+              }
+            });
+  }
+
+  private void refuseWithoutUpstream() {
+    if (mayHaveExecuted) {
+      fail("no other upstream is left", 502);
       return;
     }
-    sendTo(chosenUpstream.get(), lastEventId);
+    Optional<Duration> shortestBlock =
+        components.control().roster().usable(serviceName).stream()
+            .map(this::blockedTime)
+            .filter(time -> !time.isZero())
+            .min(Comparator.naturalOrder());
+    if (shortestBlock.isPresent() || !permitRefusals.isEmpty()) {
+      Duration retryAfter =
+          shortestBlock
+              .filter(block -> block.compareTo(FULL_RETRY_AFTER) > 0)
+              .orElse(FULL_RETRY_AFTER);
+      refuse(
+          "the upstreams of " + serviceName + " have reached their limits",
+          "upstream limit",
+          retryAfter);
+    } else {
+      refuse("no upstream of " + serviceName, "no upstream", NO_UPSTREAM_RETRY_AFTER);
+    }
   }
 
-  private Optional<UpstreamInstance> chooseUpstream() {
+  /** Chooses an upstream that the request was not sent to and that fulfills a condition. */
+  private Optional<UpstreamInstance> chooseUpstream(Predicate<UpstreamInstance> condition) {
     long now = components.loop().now();
-    List<UpstreamInstance> usableUpstreams = components.control().roster().usable(serviceName);
+    List<UpstreamInstance> usableUpstreams = usableUpstreams(condition);
     boolean isEngine = table.service(serviceName).map(ServiceSpec::engine).orElse(false);
     if (!isEngine) {
       return components
           .placement()
           .leastLoaded(usableUpstreams, this::transferCost, triedUpstreams, now);
     }
-    return chooseEngine();
+    return chooseEngine(condition);
+  }
+
+  private List<UpstreamInstance> usableUpstreams(Predicate<UpstreamInstance> condition) {
+    return components.control().roster().usable(serviceName).stream().filter(condition).toList();
   }
 
   /**
@@ -317,9 +377,9 @@
    * Computing that part again costs more than transferring stage results from another zone of the
    * region.
    */
-  private Optional<UpstreamInstance> chooseEngine() {
+  private Optional<UpstreamInstance> chooseEngine(Predicate<UpstreamInstance> condition) {
     long now = components.loop().now();
-    List<UpstreamInstance> usableUpstreams = components.control().roster().usable(serviceName);
+    List<UpstreamInstance> usableUpstreams = usableUpstreams(condition);
     List<UpstreamInstance> regionalUpstreams =
         usableUpstreams.stream()
             .filter(upstream -> components.regions().regionOf(upstream.zone()).equals(region))
@@ -417,7 +477,7 @@
 
   @Override
   public boolean mayReplaceSilentAttempt() {
-    if (chooseUpstream().isEmpty()) {
+    if (chooseUpstream(upstream -> !components.upstreamLimits().limited(upstream)).isEmpty()) {
       return false;
     }
     retryGranted = mayRetry();
--- a/runtime/src/main/java/org/oriolewell/runtime/wire/Message.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/wire/Message.java
@@ -413,4 +413,26 @@
   record Observation(
       int kind, String subject, String origin, long ageMillis, double value, List<String> details)
       implements Message {}
+
+  /**
+   * Asks for a permit to send one request to an upstream that has named a limit.
+   *
+   * @param id number that identifies this message on the connection
+   * @param upstream identifier of one start of the upstream
+   * @param rank urgency of the request; the lowest rank is the most urgent
+   * @param limitPerSecond limit that the sender knows, in requests a second
+   * @param limitAgeMillis time since the answer that named the limit, in milliseconds
+   */
+  record PermitRequest(
+      long id, String upstream, int rank, double limitPerSecond, long limitAgeMillis)
+      implements Message {}
+
+  /**
+   * Answer to {@link PermitRequest}.
+   *
+   * @param id number of the {@link PermitRequest}
+   * @param granted whether the request may be sent at once
+   * @param retryAfterMillis time after which a permit may be granted, in milliseconds
+   */
+  record PermitReply(long id, boolean granted, long retryAfterMillis) implements Message {}
 }
--- a/runtime/src/main/java/org/oriolewell/runtime/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/wire/MessageCodec.java
@@ -45,6 +45,8 @@
   private static final int STAGE_LOAD_REPORT = 24;
   private static final int STAGE_ANNOUNCE = 25;
   private static final int OBSERVATION = 26;
+  private static final int PERMIT_REQUEST = 27;
+  private static final int PERMIT_REPLY = 28;
 
   private MessageCodec() {}
 
@@ -182,6 +184,12 @@
       writeHeader(out, 7, OBSERVATION).packInt(m.kind()).packString(m.subject());
       out.packString(m.origin()).packLong(m.ageMillis()).packDouble(m.value());
       writeStrings(out, m.details());
+    } else if (message instanceof Message.PermitRequest m) {
+      writeHeader(out, 6, PERMIT_REQUEST).packLong(m.id()).packString(m.upstream());
+      out.packInt(m.rank()).packDouble(m.limitPerSecond()).packLong(m.limitAgeMillis());
+    } else if (message instanceof Message.PermitReply m) {
+      writeHeader(out, 4, PERMIT_REPLY).packLong(m.id()).packBoolean(m.granted());
+      out.packLong(m.retryAfterMillis());
     }
   }
 
@@ -339,6 +347,15 @@
               in.unpackLong(),
               in.unpackDouble(),
               readStrings(in));
+      case PERMIT_REQUEST ->
+          new Message.PermitRequest(
+              in.unpackLong(),
+              in.unpackString(),
+              in.unpackInt(),
+              in.unpackDouble(),
+              in.unpackLong());
+      case PERMIT_REPLY ->
+          new Message.PermitReply(in.unpackLong(), in.unpackBoolean(), in.unpackLong());
       default -> throw new WireException("message type " + typeNumber + " is unknown");
     };
   }
