Keep the calls to a stage upstream within the limit that it names

StageQueue now takes a permit for each call to a limited upstream, and for each request that frees results there; results that aren't freed expire.

--- a/core/src/main/java/org/oriolewell/core/ratelimit/PermitIssuer.java
+++ b/core/src/main/java/org/oriolewell/core/ratelimit/PermitIssuer.java
@@ -34,6 +34,9 @@
   /** Time for which the rank of a request counts as the most urgent one in demand. */
   private static final Duration URGENT_DEMAND_TIME = Duration.ofSeconds(2);
 
+  /** Tolerance for sums of fractions of tokens. */
+  private static final double ROUNDING = 1e-9;
+
   private static final class Bucket {
     private double tokens;
     private long refilledAt;
@@ -66,29 +69,56 @@
    * @param rank urgency of the request; the lowest rank is the most urgent
    */
   public Permit issue(String upstream, double perSecond, int rank, long now) {
-    double rate = Math.max(MIN_RATE, perSecond);
-    double capacity = 1 + rate * BURST_TIME.toNanos() / 1e9;
-    Bucket bucket = bucketsByUpstream.get(upstream);
-    if (bucket == null) {
-      bucket = new Bucket();
-      bucket.refilledAt = now;
-      bucketsByUpstream.put(upstream, bucket);
+    Duration missingTime = missingTime(upstream, perSecond, rank, now);
+    if (!missingTime.isZero()) {
+      return new Permit(false, missingTime);
     }
-    double elapsedSeconds = Math.max(0, now - bucket.refilledAt) / 1e9;
-    bucket.tokens = Math.min(capacity, bucket.tokens + elapsedSeconds * rate);
-    bucket.refilledAt = Math.max(bucket.refilledAt, now);
+    refilledBucket(upstream, perSecond, now).tokens -= 1;
+    return new Permit(true, Duration.ZERO);
+  }
+
+  /**
+   * Returns the time after which a permit can be issued for a request; zero if it can be issued
+   * now.
+   *
+   * @param upstream identifies one start of one upstream
+   * @param perSecond limit of the upstream in requests a second
+   * @param rank urgency of the request; the lowest rank is the most urgent
+   */
+  public Duration missingTime(String upstream, double perSecond, int rank, long now) {
+    Bucket bucket = refilledBucket(upstream, perSecond, now);
     if (rank <= bucket.urgentRank || now - bucket.urgentAt > URGENT_DEMAND_TIME.toNanos()) {
       bucket.urgentRank = rank;
       bucket.urgentAt = now;
     }
+    double capacity = capacity(perSecond);
     double neededTokens =
         rank <= bucket.urgentRank ? 1 : Math.min(capacity, 1 + URGENT_SHARE * capacity);
-    if (bucket.tokens >= neededTokens - 1e-9) {
-      bucket.tokens -= 1;
-      return new Permit(true, Duration.ZERO);
+    double missingTokens = neededTokens - bucket.tokens;
+    return missingTokens <= ROUNDING
+        ? Duration.ZERO
+        : Duration.ofNanos((long) Math.ceil(missingTokens / rate(perSecond) * 1e9));
+  }
+
+  private Bucket refilledBucket(String upstream, double perSecond, long now) {
+    Bucket bucket = bucketsByUpstream.get(upstream);
+    if (bucket == null) {
+      bucket = new Bucket();
+      bucket.refilledAt = now;
+      bucketsByUpstream.put(upstream, bucket);
     }
-    double missingSeconds = (neededTokens - bucket.tokens) / rate;
-    return new Permit(false, Duration.ofNanos((long) (missingSeconds * 1e9)));
+    double elapsedSeconds = Math.max(0, now - bucket.refilledAt) / 1e9;
+    bucket.tokens = Math.min(capacity(perSecond), bucket.tokens + elapsedSeconds * rate(perSecond));
+    bucket.refilledAt = Math.max(bucket.refilledAt, now);
+    return bucket;
+  }
+
+  private static double rate(double perSecond) {
+    return Math.max(MIN_RATE, perSecond);
+  }
+
+  private static double capacity(double perSecond) {
+    return 1 + rate(perSecond) * BURST_TIME.toNanos() / 1e9;
   }
 
   /** Forgets the upstreams that are no longer listed. */
--- a/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
@@ -9,10 +9,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.ratelimit.PermitIssuer;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.StageService;
 
@@ -31,9 +33,17 @@
  * repeated at another upstream, and the first result counts. If two gateways dispatch the same
  * service at the same time, calls wait longer, but no result is lost.
  *
+ * <p>An upstream that names a limit of requests a second gets no more from this queue, which is the
+ * only one that calls it.
+ *
  * <p>Times are monotonic, in nanoseconds. Not thread-safe.
  */
 public final class StageQueue {
+  /** Ranks of requests to limited upstreams; calls go before requests that free results. */
+  private static final int CALL_RANK = 0;
+
+  private static final int RELEASE_RANK = 1;
+
   /** Calls that a piece may be sent in before it fails; further repeats rarely succeed. */
   private static final int MAX_CALLS_PER_PIECE = 3;
 
@@ -96,6 +106,7 @@
   private final StageService service;
   private final String serviceName;
   private final Map<String, UpstreamState> upstreamStates = new LinkedHashMap<>();
+  private final PermitIssuer permits = PermitIssuer.create();
   private final Map<WorkId, PendingWork> pendingWork = new LinkedHashMap<>();
   private final Map<WorkId, AnnouncedWork> announcedWork = new HashMap<>();
   private final Map<Long, RunningCall> runningCalls = new HashMap<>();
@@ -173,6 +184,7 @@
     private long idleSince;
     private long pausedUntil = Long.MIN_VALUE;
     private int consecutiveFailures;
+    private OptionalDouble limitPerSecond = OptionalDouble.empty();
 
     private UpstreamState(UpstreamInstance instance, long now) {
       this.instance = instance;
@@ -217,6 +229,7 @@
       }
     }
     upstreamStates.keySet().retainAll(presentIds);
+    permits.retain(presentIds::contains);
   }
 
   /** Adds work to the queue, unless work with the same origin and ticket is queued already. */
@@ -270,13 +283,57 @@
     }
   }
 
+  /**
+   * Records the limit that an answer of an upstream names.
+   *
+   * @param perSecond requests a second that the upstream takes; empty if the answer names none
+   * @return whether the limit has changed
+   */
+  public boolean limitStated(String upstreamId, OptionalDouble perSecond) {
+    UpstreamState upstream = upstreamStates.get(upstreamId);
+    if (upstream == null || upstream.limitPerSecond.equals(perSecond)) {
+      return false;
+    }
+    upstream.limitPerSecond = perSecond;
+    return true;
+  }
+
+  /**
+   * Returns whether results may be freed at an upstream now, and counts the request against the
+   * limit of the upstream. Results that are not freed expire.
+   */
+  public boolean takeReleasePermit(String upstreamId, long now) {
+    UpstreamState upstream = upstreamStates.get(upstreamId);
+    return upstream == null
+        || upstream.limitPerSecond.isEmpty()
+        || permits
+            .issue(upstreamId, upstream.limitPerSecond.getAsDouble(), RELEASE_RANK, now)
+            .granted();
+  }
+
+  private boolean callPermitted(UpstreamState upstream, long now) {
+    return upstream.limitPerSecond.isEmpty()
+        || permits
+            .missingTime(
+                upstream.instance.id(), upstream.limitPerSecond.getAsDouble(), CALL_RANK, now)
+            .isZero();
+  }
+
+  private void takeCallPermit(UpstreamState upstream, long now) {
+    if (upstream.limitPerSecond.isPresent()) {
+      permits.issue(upstream.instance.id(), upstream.limitPerSecond.getAsDouble(), CALL_RANK, now);
+    }
+  }
+
   /** Returns the calls that the dispatcher has to send now, and counts them as running. */
   public List<StageCall> nextCalls(long now) {
     List<StageCall> callsToSend = new ArrayList<>();
     List<UpstreamState> freeUpstreams = new ArrayList<>();
     for (UpstreamState upstream : upstreamStates.values()) {
       expireResults(upstream, now);
-      if (upstream.runningCalls < service.slots() && now >= upstream.pausedUntil) {
+      if (upstream.runningCalls < service.slots()
+          && now >= upstream.pausedUntil
+          && callPermitted(upstream, now)) {
         freeUpstreams.add(upstream);
       }
     }
@@ -284,6 +341,7 @@
     for (UpstreamState upstream : freeUpstreams) {
       StageCall call = assembleCall(upstream, now);
       if (call != null) {
+        takeCallPermit(upstream, now);
         callsToSend.add(call);
       }
     }
--- a/core/src/test/java/org/oriolewell/core/stage/StageQueueTest.java
+++ b/core/src/test/java/org/oriolewell/core/stage/StageQueueTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.oriolewell.core.roster.UpstreamInstance;
@@ -57,6 +58,26 @@
         List.of());
   }
 
+  @Test
+  void limitedUpstreamGetsNoMoreRequestsThanItNames() {
+    queue.replaceUpstreams(List.of(UPSTREAM_IN_ZONE_A), 0);
+    queue.limitStated("u1", OptionalDouble.of(1));
+    int requests = 0;
+    for (int step = 0; step < 1000; step++) {
+      long now = step * 10 * NANOS_PER_MILLI;
+      queue.add(work(step, 1, 10, 20_000), now);
+      for (StageCall call : queue.nextCalls(now)) {
+        requests++;
+        queue.completed(call.id(), List.of(PieceOutcome.done(0, "h" + step)), now);
+      }
+      requests += queue.takeReleasePermit("u1", now) ? 1 : 0;
+    }
+
+    assertThat(requests).isBetween(9, 11);
+    assertThat(queue.limitStated("u1", OptionalDouble.empty())).isTrue();
+    assertThat(queue.nextCalls(10_000 * NANOS_PER_MILLI)).hasSize(1);
+  }
+
   private StageCall nextOnlyCall(long now) {
     List<StageCall> calls = queue.nextCalls(now);
     assertThat(calls).hasSize(1);
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -8,7 +8,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.function.BiConsumer;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.roster.UpstreamInstance;
@@ -176,6 +178,12 @@
       }
     }
 
+    @Override
+    public void onHead(int answerStatus, HttpFields headers) {
+      super.onHead(answerStatus, headers);
+      recordLimit(call.upstream(), headers);
+    }
+
     @Override
     public void onComplete() {
       if (callEnded) {
@@ -230,6 +238,16 @@
     }
   }
 
+  private void recordLimit(UpstreamInstance upstream, HttpFields headers) {
+    OptionalDouble perSecond = dialect.limitPerSecond(headers);
+    if (queue.limitStated(upstream.id(), perSecond)) {
+      log.event(GatewayEvent.UPSTREAM_LIMITED)
+          .with("upstream", upstream.id())
+          .with("per_second", perSecond.isPresent() ? perSecond.getAsDouble() : null)
+          .write();
+    }
+  }
+
   /** Frees results, together with others, after a short delay. */
   void release(List<String> handles) {
     for (String handle : handles) {
@@ -250,7 +268,7 @@
     handlesByAddress.forEach(
         (address, handles) -> {
           UpstreamInstance producer = upstreamsByAddress.get(address);
-          if (producer != null) {
+          if (producer != null && queue.takeReleasePermit(producer.id(), loop.now())) {
             sendRelease(producer, handles);
           }
         });
@@ -264,6 +282,12 @@
             producer.address(),
             dialect.releaseRequest(producer, handles),
             new BufferedAnswer(MAX_STAGE_ANSWER_BYTES, MAX_STAGE_ANSWER_BYTES_NAME) {
+              @Override
+              public void onHead(int answerStatus, HttpFields headers) {
+                super.onHead(answerStatus, headers);
+                recordLimit(producer, headers);
+              }
+
               @Override
               public void onComplete() {
                 callEnded[0] = true;
