Bound the report of a crash, and don't bring a released prompt part back

Reports list at most 256 requests with 32 parts, ids are separated by a line feed, and a gateway withdraws its observation of a quarantine when that ends. A failed removal from the store is tried again. While no upstream has named a limit, nothing is looked up for one. Linter findings.

--- a/core/src/test/java/org/oriolewell/core/quarantine/CrashReplayTest.java
+++ b/core/src/test/java/org/oriolewell/core/quarantine/CrashReplayTest.java
@@ -127,7 +127,6 @@
   }
 
   private void send(int gateway, List<String> parts) {
-    boolean fatal = parts.contains(FATAL);
     if (deciders.get(gateway).decide(parts, part -> false, now) instanceof Decision.HoldBack held) {
       if (!held.part().equals(FATAL)) {
         innocentsHeldBack.add(held.part());
@@ -140,7 +139,7 @@
     }
     Running request = new Running(gateway, parts, "r" + nextId++, now);
     engine.running.add(request);
-    if (fatal) {
+    if (parts.contains(FATAL)) {
       fatalSends.add(now);
       String id = engine.id;
       events.add(
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -88,8 +88,8 @@
             clock,
             log);
     PrometheusRegistry registry = new PrometheusRegistry();
-    GatewayMetrics metrics = GatewayMetrics.register(registry);
-    UpstreamHealth health = UpstreamHealth.create();
+    final GatewayMetrics metrics = GatewayMetrics.register(registry);
+    final UpstreamHealth health = UpstreamHealth.create();
     stageCoordinator =
         new StageCoordinator(loop, control, client, platformAdapter.stageDialect(), regions, log);
     mesh =
--- a/gateway/src/main/java/org/oriolewell/gateway/ObservationExchange.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ObservationExchange.java
@@ -56,7 +56,7 @@
   }
 
   /** Sets the receiver of the other gateways' observations of a kind. */
-  void onObservation(Kind kind, Consumer<Message.Observation> receiver) {
+  void receive(Kind kind, Consumer<Message.Observation> receiver) {
     receivers.put(kind, receiver);
   }
 
@@ -70,6 +70,14 @@
     mesh.broadcast(observation, true);
   }
 
+  /** Sends an observation that no longer holds to no gateway that connects later. */
+  void withdraw(Kind kind, String subject) {
+    kept.removeIf(
+        entry ->
+            entry.observation().kind() == kind.ordinal()
+                && entry.observation().subject().equals(subject));
+  }
+
   /** Sends an observation of this gateway to one other; it is lost if that isn't connected. */
   void send(String receiver, Kind kind, String subject, double value) {
     mesh.send(receiver, observation(kind, subject, value, List.of()));
--- a/gateway/src/main/java/org/oriolewell/gateway/PromptGuard.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/PromptGuard.java
@@ -49,6 +49,15 @@
   /** Pause after a write that failed. */
   private static final Duration WRITE_RETRY_DELAY = Duration.ofSeconds(1);
 
+  /** Separates the ids in the report of a crash; header values can't contain it. */
+  private static final String FIELD_SEPARATOR = "\n";
+
+  /** Most requests that the report of a crash lists; it has to fit into one message. */
+  private static final int MAX_REPORTED_VICTIMS = 256;
+
+  /** Most prompt parts of each request in the report of a crash. */
+  private static final int MAX_REPORTED_PARTS = 32;
+
   /** A request of this gateway that has not ended. */
   interface PendingRequest {
     /** Returns the ids of the prompt's parts that other requests may share. */
@@ -82,9 +91,9 @@
     this.client = client;
     this.exchange = exchange;
     this.log = log;
-    exchange.onObservation(Kind.ENGINE_CRASHED, this::onCrashReported);
-    exchange.onObservation(Kind.PART_ANSWERED, this::onAnswerReported);
-    exchange.onObservation(Kind.PART_QUARANTINED, this::onQuarantineReported);
+    exchange.receive(Kind.ENGINE_CRASHED, this::onCrashReported);
+    exchange.receive(Kind.PART_ANSWERED, this::onAnswerReported);
+    exchange.receive(Kind.PART_QUARANTINED, this::onQuarantineReported);
     control.quarantineListener(this);
   }
 
@@ -135,7 +144,10 @@
       victimsByEngine.put(engineKey, victims);
       loop.after(CHECK_DELAY, () -> checkEngine(engine, engineKey));
     }
-    victims.put(requestId, new CrashVictim(requestId, parts));
+    if (victims.size() < MAX_REPORTED_VICTIMS) {
+      List<String> reportedParts = parts.subList(0, Math.min(parts.size(), MAX_REPORTED_PARTS));
+      victims.put(requestId, new CrashVictim(requestId, reportedParts));
+    }
   }
 
   private void checkEngine(UpstreamInstance engine, String engineKey) {
@@ -169,7 +181,9 @@
   private static List<String> encode(List<CrashVictim> victims) {
     List<String> encoded = new ArrayList<>();
     for (CrashVictim victim : victims) {
-      encoded.add(victim.requestId() + " " + String.join(" ", victim.promptParts()));
+      List<String> fields = new ArrayList<>(List.of(victim.requestId()));
+      fields.addAll(victim.promptParts());
+      encoded.add(String.join(FIELD_SEPARATOR, fields));
     }
     return encoded;
   }
@@ -177,7 +191,7 @@
   private void onCrashReported(Message.Observation observation) {
     List<CrashVictim> victims = new ArrayList<>();
     for (String text : observation.details()) {
-      List<String> fields = Arrays.asList(text.split(" "));
+      List<String> fields = Arrays.asList(text.split(FIELD_SEPARATOR));
       victims.add(new CrashVictim(fields.get(0), fields.subList(1, fields.size())));
     }
     long crashedAt = loop.now() - Duration.ofMillis(observation.ageMillis()).toNanos();
@@ -204,7 +218,7 @@
     boolean released = quarantine.isQuarantined(observation.subject());
     quarantine.answered(List.of(observation.subject()));
     if (released) {
-      logRelease(observation.subject(), "answered at " + observation.origin());
+      afterRelease(observation.subject(), "answered at " + observation.origin());
     }
   }
 
@@ -215,8 +229,8 @@
       exchange.publish(Kind.PART_ANSWERED, part, 0, List.of());
     }
     for (String part : quarantinedParts) {
-      logRelease(part, "answered here");
-      feed.release(part);
+      afterRelease(part, "answered here");
+      removeFromStore(part);
     }
   }
 
@@ -242,7 +256,8 @@
     }
   }
 
-  private void logRelease(String part, String reason) {
+  private void afterRelease(String part, String reason) {
+    exchange.withdraw(Kind.PART_QUARANTINED, part);
     log.event(GatewayEvent.PROMPT_RELEASED)
         .with("prompt_part", part)
         .with("reason", reason)
@@ -260,6 +275,21 @@
         });
   }
 
+  private void removeFromStore(String part) {
+    if (quarantine.isQuarantined(part)) {
+      return;
+    }
+    feed.release(part)
+        .whenComplete(
+            (done, failure) ->
+                loop.execute(
+                    () -> {
+                      if (failure != null) {
+                        loop.after(WRITE_RETRY_DELAY, () -> removeFromStore(part));
+                      }
+                    }));
+  }
+
   private void store(String part) {
     if (!quarantine.isQuarantined(part)) {
       return;
@@ -289,7 +319,7 @@
   public void onReleased(String part) {
     storedParts.remove(part);
     if (quarantine.release(part)) {
-      logRelease(part, "no longer listed in the store");
+      afterRelease(part, "no longer listed in the store");
     }
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamLimits.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamLimits.java
@@ -68,12 +68,15 @@
     this.exchange = exchange;
     this.log = log;
     mesh.permitListener(this);
-    exchange.onObservation(Kind.UPSTREAM_LIMITED, this::onLimitReported);
+    exchange.receive(Kind.UPSTREAM_LIMITED, this::onLimitReported);
     control.onChange(this::forgetUnlisted);
   }
 
   /** Records the limit that an answer names; empty if it names none. */
   void stated(UpstreamInstance upstream, OptionalDouble perSecond) {
+    if (perSecond.isEmpty() && limits.isEmpty()) {
+      return;
+    }
     String key = UpstreamClient.poolKey(upstream);
     if (!limits.stated(key, perSecond, loop.now())) {
       return;
@@ -121,7 +124,7 @@
 
   /** Returns whether a request to the upstream needs a permit. */
   boolean limited(UpstreamInstance upstream) {
-    return limits.limit(UpstreamClient.poolKey(upstream)).isPresent();
+    return !limits.isEmpty() && limits.limit(UpstreamClient.poolKey(upstream)).isPresent();
   }
 
   /**
@@ -129,6 +132,9 @@
    * knows; zero if it can be asked for now.
    */
   Duration blockedTime(UpstreamInstance upstream, int rank) {
+    if (denials.isEmpty()) {
+      return Duration.ZERO;
+    }
     Denial denial = denials.get(UpstreamClient.poolKey(upstream));
     if (denial == null || rank < denial.rank() || !limited(upstream)) {
       return Duration.ZERO;
