Failing test: a mistaken quarantine takes away evidence against the part at fault

Asked for in review: racks that lose power while a subject is hot. Five racks one after the other hold back nothing (passes). A rack and then two crashes under the guilty part, before any sound answer, quarantine the popular first part; when that is released, the evidence against the guilty part is gone.

--- a/core/src/test/java/org/oriolewell/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/oriolewell/core/quarantine/PromptQuarantineTest.java
@@ -7,6 +7,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -83,6 +84,35 @@
     assertThat(heldBack("s1")).isFalse();
   }
 
+  /** Guards against a hot subject that is taken for the cause when racks lose power. */
+  @Test
+  void hotSubjectIsNotHeldBackWhenRacksLosePowerOneAfterTheOther() {
+    for (int rack = 0; rack < 5; rack++) {
+      for (int engine = 0; engine < 6; engine++) {
+        String id = "rack" + rack + "-" + engine;
+        quarantine.engineCrashed(
+            id, List.of(victim(FIRST, "hot"), victim(FIRST, "hot")), millis(rack * 2000L + engine));
+      }
+      quarantine.answered(List.of(FIRST, "hot"));
+    }
+    assertThat(quarantine.quarantinedParts()).isEmpty();
+  }
+
+  /** Guards against evidence that a mistaken quarantine takes away from the part at fault. */
+  @Test
+  @Tag("known-red")
+  void fatalPartIsFoundAfterThePowerLossOfEnginesThatRanPopularPart() {
+    for (int engine = 0; engine < 6; engine++) {
+      quarantine.engineCrashed("rack" + engine, List.of(victim(FIRST, "hot")), millis(engine));
+    }
+    quarantine.engineCrashed("e1", List.of(victim(FIRST, FATAL)), millis(500));
+    quarantine.engineCrashed("e2", List.of(victim(FIRST, FATAL)), millis(1000));
+    quarantine.answered(List.of(FIRST, "hot"));
+    quarantine.engineCrashed("e3", List.of(victim(FIRST, FATAL)), millis(1500));
+
+    assertThat(quarantine.quarantinedParts()).containsExactly(FATAL);
+  }
+
   @Test
   void engineReportedBySeveralGatewaysCountsOnce() {
     for (int i = 0; i < 9; i++) {
