Restore the evidence against other parts when a quarantine ends

A part that was quarantined by mistake explained the crashes at which it was present, and these were deleted from the evidence against the part at fault; a release did not bring them back. The crashes are now kept and left out only while their explanation is in quarantine. PromptQuarantineTest.fatalPartIsFoundAfterThePowerLossOfEnginesThatRanPopularPart failed before and passes.

--- a/core/src/main/java/org/oriolewell/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/org/oriolewell/core/quarantine/CrashEvidence.java
@@ -37,13 +37,21 @@
   /** Most engines and request ids that are kept for one part. */
   private static final int MAX_ENTRIES_PER_PART = 32;
 
-  private static final class Suspect {
+  /** The part that explains a crash, while it is quarantined, and when that was found. */
+  private record Explanation(String part, long foundAt) {}
+
+  private final class Suspect {
     private final Map<String, Long> crashTimeByEngine = new LinkedHashMap<>();
     private final Set<String> requestIds = new LinkedHashSet<>();
 
     private int episodes(long now) {
-      List<Long> times = new ArrayList<>(crashTimeByEngine.values());
-      times.removeIf(time -> now - time > MAX_AGE.toNanos());
+      List<Long> times = new ArrayList<>();
+      crashTimeByEngine.forEach(
+          (engine, time) -> {
+            if (!explanationsByEngine.containsKey(engine) && now - time <= MAX_AGE.toNanos()) {
+              times.add(time);
+            }
+          });
       times.sort(Comparator.naturalOrder());
       int episodes = 0;
       long episodeStart = 0;
@@ -55,12 +63,19 @@
       }
       return episodes;
     }
+
+    private int unexplainedEngines() {
+      return (int)
+          crashTimeByEngine.keySet().stream()
+              .filter(engine -> !explanationsByEngine.containsKey(engine))
+              .count();
+    }
   }
 
   private final Map<String, Suspect> suspectsByPart = new LinkedHashMap<>();
 
-  /** Times of crashes that a quarantined part explains, by engine. */
-  private final Map<String, Long> explainedCrashes = new HashMap<>();
+  /** Crashes that a quarantined part explains; they count against no other part. */
+  private final Map<String, Explanation> explanationsByEngine = new HashMap<>();
 
   boolean isEmpty() {
     return suspectsByPart.isEmpty();
@@ -76,9 +91,6 @@
 
   /** Records the crash of an engine; another report of the same crash adds its victims. */
   void crashed(String engine, Collection<CrashVictim> victims, long now) {
-    if (explainedCrashes.containsKey(engine)) {
-      return;
-    }
     victims.stream().limit(MAX_VICTIMS).forEach(victim -> addVictim(engine, victim, now));
     while (suspectsByPart.size() > MAX_PARTS) {
       suspectsByPart.remove(suspectsByPart.keySet().iterator().next());
@@ -97,23 +109,27 @@
             });
   }
 
-  /** Records that the crash of an engine has a known cause, so that no other part is suspected. */
-  void explained(String engine, long now) {
-    explainedCrashes.values().removeIf(time -> now - time > MAX_AGE.toNanos());
-    explainedCrashes.put(engine, now);
-    suspectsByPart.values().forEach(suspect -> suspect.crashTimeByEngine.remove(engine));
-    suspectsByPart.values().removeIf(suspect -> suspect.crashTimeByEngine.isEmpty());
+  /** Records that a quarantined part explains the crash of an engine. */
+  void explained(String engine, String part, long now) {
+    explanationsByEngine.values().removeIf(known -> now - known.foundAt() > MAX_AGE.toNanos());
+    explanationsByEngine.put(engine, new Explanation(part, now));
   }
 
-  /** Records a sound answer to a prompt with a part, which clears the part. */
+  /**
+   * Records a sound answer to a prompt with a part, which clears the part: the crashes that it
+   * seemed to explain count against the other parts again.
+   */
   void cleared(String part) {
     suspectsByPart.remove(part);
+    explanationsByEngine.values().removeIf(explanation -> explanation.part().equals(part));
   }
 
-  /** Removes a part and returns the engines whose crashes it explains. */
-  Set<String> remove(String part) {
+  /** Removes a part that is quarantined, which explains the crashes at which it was present. */
+  void convicted(String part, long now) {
     Suspect suspect = suspectsByPart.remove(part);
-    return suspect == null ? Set.of() : Set.copyOf(suspect.crashTimeByEngine.keySet());
+    if (suspect != null) {
+      suspect.crashTimeByEngine.keySet().forEach(engine -> explained(engine, part, now));
+    }
   }
 
   /** Drops crashes that are too old to count. */
@@ -139,7 +155,7 @@
   /** Returns the number of engines that crashed while a part was present. */
   int engines(String part) {
     Suspect suspect = suspectsByPart.get(part);
-    return suspect == null ? 0 : suspect.crashTimeByEngine.size();
+    return suspect == null ? 0 : suspect.unexplainedEngines();
   }
 
   /** Returns the parts that at least the given number of different requests contained. */
--- a/core/src/main/java/org/oriolewell/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/oriolewell/core/quarantine/PromptQuarantine.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 
 /**
@@ -100,15 +101,16 @@
    */
   public List<String> engineCrashed(String engine, Collection<CrashVictim> victims, long now) {
     evidence.expire(now);
-    boolean explained =
+    evidence.crashed(engine, victims, now);
+    Optional<String> explanation =
         victims.stream()
             .flatMap(victim -> victim.promptParts().stream())
-            .anyMatch(entriesByPart::containsKey);
-    if (explained) {
-      evidence.explained(engine, now);
+            .filter(entriesByPart::containsKey)
+            .findFirst();
+    if (explanation.isPresent()) {
+      evidence.explained(engine, explanation.get(), now);
       return List.of();
     }
-    evidence.crashed(engine, victims, now);
     List<String> culprits = culprits(now);
     culprits.forEach(part -> quarantine(part, FIRST_TRIAL_DELAY, now));
     return culprits;
@@ -148,7 +150,7 @@
    * @param trialDelay time until the first trial request
    */
   public void quarantine(String part, Duration trialDelay, long now) {
-    evidence.remove(part).forEach(engine -> evidence.explained(engine, now));
+    evidence.convicted(part, now);
     Entry existing = entriesByPart.get(part);
     if (existing == null || !existing.trialDelay.equals(trialDelay)) {
       entriesByPart.put(part, new Entry(trialDelay, now));
--- a/core/src/test/java/org/oriolewell/core/quarantine/CrashReplayTest.java
+++ b/core/src/test/java/org/oriolewell/core/quarantine/CrashReplayTest.java
@@ -175,7 +175,6 @@
               now + CRASH_DELAY,
               () -> {
                 if (engine.id.equals(id)) {
-                  fatalCrashes.add(now);
                   crash(engine);
                 }
               }));
@@ -225,6 +224,9 @@
             .add(new CrashVictim(request.id(), request.parts()));
       }
     }
+    if (engine.running.stream().anyMatch(request -> request.parts().contains(FATAL))) {
+      fatalCrashes.add(now);
+    }
     String crashedId = engine.id;
     victimsByGateway.forEach((gateway, victims) -> report(gateway, crashedId, victims));
     engine.running.clear();
--- a/core/src/test/java/org/oriolewell/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/oriolewell/core/quarantine/PromptQuarantineTest.java
@@ -7,7 +7,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.IntStream;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -100,7 +99,6 @@
 
   /** Guards against evidence that a mistaken quarantine takes away from the part at fault. */
   @Test
-  @Tag("known-red")
   void fatalPartIsFoundAfterThePowerLossOfEnginesThatRanPopularPart() {
     for (int engine = 0; engine < 6; engine++) {
       quarantine.engineCrashed("rack" + engine, List.of(victim(FIRST, "hot")), millis(engine));
