--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -292,9 +292,7 @@
     if (attemptEnded) {
       return;
     }
-    boolean engineListed =
-        components.control().roster().usable(upstream.service()).contains(upstream);
-    if (endsAtClose && !promptParts.isEmpty() && engineListed) {
+    if (endsAtClose && !promptParts.isEmpty() && listed()) {
       // The end of such an answer looks the same as that of an engine that crashes.
       stopInactivityTimer();
       components
@@ -306,6 +304,10 @@
     }
   }
 
+  private boolean listed() {
+    return components.control().roster().usable(upstream.service()).contains(upstream);
+  }
+
   private void endUnframedAnswer(boolean engineAccepting) {
     if (attemptEnded) {
       return;
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
@@ -102,6 +102,20 @@
   private Call openAndSend(
       Pool pool, String address, UpstreamRequest request, UpstreamListener listener) {
     PendingConnection pendingConnection = new PendingConnection(request, listener);
+    open(
+        pool,
+        address,
+        connection -> pendingConnection.onOpened(connection, pool),
+        pendingConnection::onFailed);
+    return pendingConnection;
+  }
+
+  /** Opens a connection that belongs to a pool; one of the two receivers is called on the loop. */
+  private void open(
+      Pool pool,
+      String address,
+      Consumer<UpstreamConnection> onOpened,
+      Consumer<Throwable> onFailed) {
     loop.connect(
         parseAddress(address),
         endPoint -> {
@@ -110,12 +124,11 @@
           loop.execute(
               () -> {
                 pool.openCount++;
-                pendingConnection.onOpened(connection, pool);
+                onOpened.accept(connection);
               });
           return connection;
         },
-        pendingConnection::onFailed);
-    return pendingConnection;
+        onFailed);
   }
 
   /** A request that waits for its connection to be opened. */
@@ -172,18 +185,12 @@
    */
   void checkAccepting(String poolKey, String address, Consumer<Boolean> onResult) {
     Pool pool = poolsByKey.computeIfAbsent(poolKey, p -> new Pool());
-    loop.connect(
-        parseAddress(address),
-        endPoint -> {
-          UpstreamConnection connection =
-              new UpstreamConnection(endPoint, executor, loop, pool, attemptIdHeader);
-          loop.execute(
-              () -> {
-                pool.openCount++;
-                pool.onIdle(connection);
-                onResult.accept(true);
-              });
-          return connection;
+    open(
+        pool,
+        address,
+        connection -> {
+          pool.onIdle(connection);
+          onResult.accept(true);
         },
         failure -> onResult.accept(!(failure instanceof ConnectException)));
   }
