Move the choice of a request's upstreams out of RequestFlow

UpstreamChoice holds the upstreams that were tried or refused a permit, and chooses the next; while no upstream has named a limit, the list of usable ones isn't copied. No decision changes.

--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -2,12 +2,8 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.overload.StageAdmission.Decision;
@@ -44,15 +40,6 @@
   /** Retry-After when the chosen upstreams are full; about the time of one batch. */
   private static final Duration FULL_RETRY_AFTER = Duration.ofMillis(300);
 
-  /**
-   * Cost of sending a request to another availability zone, in units of the load of a full
-   * upstream; for services that aren't engines.
-   */
-  private static final double OTHER_ZONE_COST = 0.25;
-
-  /** Cost of sending a request to another region, in the same unit; that traffic costs money. */
-  private static final double OTHER_REGION_COST = 1.5;
-
   /**
    * Time after which an engine of the region has read a request's inputs: it reads them before the
    * prompt, and the largest take about 10 ms. The inputs are freed then, unless another attempt may
@@ -78,10 +65,7 @@
   private final long deadline;
   private int rank;
   private final String serviceName;
-  private final Set<String> triedUpstreams = new HashSet<>();
-
-  /** Limited upstreams for which this request was refused a permit. */
-  private final Set<String> permitRefusals = new HashSet<>();
+  private final UpstreamChoice upstreamChoice;
 
   private String region;
   private @Nullable StageRun stageRun;
@@ -137,6 +121,12 @@
             + Math.min(route.priority(), RANKS_PER_WORKSPACE_PRIORITY - 1);
     this.serviceName = route.serviceFor(requestId().hashCode());
     this.region = components.control().self().region();
+    this.upstreamChoice =
+        new UpstreamChoice(
+            components,
+            serviceName,
+            table.service(serviceName).map(ServiceSpec::engine).orElse(false),
+            intent.affinityHash() == 0 ? requestId().hashCode() : intent.affinityHash());
   }
 
   private String requestId() {
@@ -236,7 +226,7 @@
             requestId(),
             intent.pieceKey(),
             region,
-            chooseEngine(this::permitPossible).map(UpstreamInstance::zone).orElse(""),
+            upstreamChoice.engineZone(region, rank),
             rank,
             firstByteDueAt,
             deadline,
@@ -294,7 +284,7 @@
     if (trialPart == null && heldBack()) {
       return;
     }
-    Optional<UpstreamInstance> chosenUpstream = chooseUpstream(this::permitPossible);
+    Optional<UpstreamInstance> chosenUpstream = upstreamChoice.next(region, rank);
     if (chosenUpstream.isEmpty()) {
       refuseWithoutUpstream();
     } else if (components.upstreamLimits().limited(chosenUpstream.get())) {
@@ -304,14 +294,6 @@
     }
   }
 
-  private boolean permitPossible(UpstreamInstance upstream) {
-    return !permitRefusals.contains(upstream.id()) && blockedTime(upstream).isZero();
-  }
-
-  private Duration blockedTime(UpstreamInstance upstream) {
-    return components.upstreamLimits().blockedTime(upstream, rank);
-  }
-
   private void requestPermit(UpstreamInstance upstream, @Nullable String lastEventId) {
     components
         .upstreamLimits()
@@ -323,7 +305,7 @@
                 return;
               }
               if (!granted) {
-                permitRefusals.add(upstream.id());
+                upstreamChoice.permitRefused(upstream);
                 callUpstream(lastEventId);
               } else if (trialPart != null || !heldBack()) {
                 sendTo(upstream, lastEventId);
@@ -336,12 +318,8 @@
       fail("no other upstream is left", 502);
       return;
     }
-    Optional<Duration> shortestBlock =
-        components.control().roster().usable(serviceName).stream()
-            .map(this::blockedTime)
-            .filter(time -> !time.isZero())
-            .min(Comparator.naturalOrder());
-    if (shortestBlock.isPresent() || !permitRefusals.isEmpty()) {
+    Optional<Duration> shortestBlock = upstreamChoice.shortestBlock(rank);
+    if (shortestBlock.isPresent() || upstreamChoice.anyPermitRefused()) {
       Duration retryAfter =
           shortestBlock
               .filter(block -> block.compareTo(FULL_RETRY_AFTER) > 0)
@@ -355,53 +333,6 @@
     }
   }
 
-  /** Chooses an upstream that the request was not sent to and that fulfills a condition. */
-  private Optional<UpstreamInstance> chooseUpstream(Predicate<UpstreamInstance> condition) {
-    long now = components.loop().now();
-    List<UpstreamInstance> usableUpstreams = usableUpstreams(condition);
-    boolean isEngine = table.service(serviceName).map(ServiceSpec::engine).orElse(false);
-    if (!isEngine) {
-      return components
-          .placement()
-          .leastLoaded(usableUpstreams, this::transferCost, triedUpstreams, now);
-    }
-    return chooseEngine(condition);
-  }
-
-  private List<UpstreamInstance> usableUpstreams(Predicate<UpstreamInstance> condition) {
-    return components.control().roster().usable(serviceName).stream().filter(condition).toList();
-  }
-
-  /**
-   * Returns the engine of the region that probably has the shared part of the prompt in its cache.
-   * Computing that part again costs more than transferring stage results from another zone of the
-   * region.
-   */
-  private Optional<UpstreamInstance> chooseEngine(Predicate<UpstreamInstance> condition) {
-    long now = components.loop().now();
-    List<UpstreamInstance> usableUpstreams = usableUpstreams(condition);
-    List<UpstreamInstance> regionalUpstreams =
-        usableUpstreams.stream()
-            .filter(upstream -> components.regions().regionOf(upstream.zone()).equals(region))
-            .toList();
-    long affinity = intent.affinityHash() == 0 ? requestId().hashCode() : intent.affinityHash();
-    Optional<UpstreamInstance> regionalChoice =
-        components.placement().byAffinity(regionalUpstreams, affinity, triedUpstreams, now);
-    return regionalChoice.isPresent()
-        ? regionalChoice
-        : components.placement().byAffinity(usableUpstreams, affinity, triedUpstreams, now);
-  }
-
-  private double transferCost(UpstreamInstance upstream) {
-    if (upstream.zone().equals(components.control().self().zone())) {
-      return 0;
-    }
-    String upstreamRegion = components.regions().regionOf(upstream.zone());
-    return upstreamRegion.equals(components.control().self().region())
-        ? OTHER_ZONE_COST
-        : OTHER_REGION_COST;
-  }
-
   private void sendTo(UpstreamInstance upstream, @Nullable String lastEventId) {
     if (exchange.detectCallerGone()) {
       return;
@@ -413,7 +344,7 @@
       return;
     }
     attemptCount++;
-    triedUpstreams.add(upstream.id());
+    upstreamChoice.tried(upstream);
     if (attemptCount == 1) {
       components.retryBudget().attempted(serviceName);
     }
@@ -477,7 +408,7 @@
 
   @Override
   public boolean mayReplaceSilentAttempt() {
-    if (chooseUpstream(upstream -> !components.upstreamLimits().limited(upstream)).isEmpty()) {
+    if (!upstreamChoice.anyUnlimited(region)) {
       return false;
     }
     retryGranted = mayRetry();
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamLimits.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamLimits.java
@@ -122,6 +122,11 @@
     return loop.now() - Duration.ofMillis(ageMillis).toNanos();
   }
 
+  /** Returns whether an upstream has named a limit that may still hold. */
+  boolean anyLimited() {
+    return !limits.isEmpty();
+  }
+
   /** Returns whether a request to the upstream needs a permit. */
   boolean limited(UpstreamInstance upstream) {
     return !limits.isEmpty() && limits.limit(UpstreamClient.poolKey(upstream)).isPresent();
