Log when the store comes back with an older copy of its content

Without the era, the logs can't tell a watch that skips revisions given out again from a write that is missing. Observability only: the gateway does nothing else with the era yet.

--- a/gateway/src/main/java/org/oriolewell/gateway/BufferedAnswer.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/BufferedAnswer.java
@@ -6,6 +6,7 @@
 abstract class BufferedAnswer implements UpstreamListener {
   private final AnswerBody body;
   private int status;
+  private HttpFields headers = HttpFields.EMPTY;
 
   /**
    * Creates a listener that has received nothing.
@@ -18,8 +19,9 @@
   }
 
   @Override
-  public void onHead(int answerStatus, HttpFields headers) {
+  public void onHead(int answerStatus, HttpFields answerHeaders) {
     status = answerStatus;
+    headers = answerHeaders;
   }
 
   @Override
@@ -32,6 +34,11 @@
     return status;
   }
 
+  /** Returns the headers of the answer; none before its head was read. */
+  HttpFields headers() {
+    return headers;
+  }
+
   /** Returns the part of the body that was read so far. */
   byte[] body() {
     return body.toByteArray();
--- a/gateway/src/main/java/org/oriolewell/gateway/ControlFeed.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlFeed.java
@@ -90,6 +90,21 @@
     }
   }
 
+  /** Receives the era of each answer of the store, on the event loop. */
+  @FunctionalInterface
+  interface EraObserver {
+    /**
+     * Called before an answer is used.
+     *
+     * @param era number that rises when the store has come back with an older copy of its content
+     * @return whether the answer may be used; false if a later era has been seen already
+     */
+    boolean onEra(long era);
+  }
+
+  /** Sets the receiver of the eras; an answer that names none isn't reported. */
+  void observeEras(EraObserver observer);
+
   /** Returns the current configuration, upstreams and gateways. */
   CompletableFuture<Batch> snapshot();
 
--- a/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
@@ -84,6 +84,7 @@
 
   private boolean confirmingFreshness;
   private boolean unregistering;
+  private long storeEra;
 
   /** Receives the entries of the store about prompt parts in quarantine. */
   interface QuarantineListener {
@@ -134,6 +135,7 @@
   /** Begins to read the store and registers this gateway. */
   void start() {
     loop.every(CHECK_INTERVAL, this::runPeriodicChecks);
+    feed.observeEras(this::onEra);
     readSnapshot();
     register();
   }
@@ -216,6 +218,17 @@
                     }));
   }
 
+  private boolean onEra(long era) {
+    if (era > storeEra && storeEra > 0) {
+      log.event(GatewayEvent.STORE_RESTORED)
+          .with("era", era)
+          .with("known_revision", storeRevision)
+          .write();
+    }
+    storeEra = Math.max(storeEra, era);
+    return true;
+  }
+
   private void runPeriodicChecks() {
     observeClocks();
     List<UpstreamInstance> expiredUpstreams = roster.expireLapsed(loop.now());
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -24,6 +24,11 @@
       Level.WARNING,
       "The clocks moved against each other, as after a suspension; keys are refused until the"
           + " store confirms them."),
+  STORE_RESTORED(
+      8019,
+      Level.WARNING,
+      "The store came back with an older copy of its content; everything is read again, and what"
+          + " this gateway had written is written again."),
   PEER_CONNECTED(8020, Level.INFO, "The connection to another gateway is open."),
   PEER_LOST(8021, Level.WARNING, "The connection to another gateway was lost; it is dialed again."),
   REGISTERED(8022, Level.INFO, "This gateway is listed in the store."),
--- a/gateway/src/main/java/org/oriolewell/gateway/StoreCaller.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StoreCaller.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.http.HttpFields;
 import org.oriolewell.gateway.ControlFeed.FeedException;
 import org.oriolewell.runtime.net.EventLoop;
 
@@ -22,9 +23,10 @@
    * An HTTP answer of the store.
    *
    * @param status HTTP status code
+   * @param headers headers of the answer
    * @param body complete body
    */
-  public record Answer(int status, byte[] body) {}
+  public record Answer(int status, HttpFields headers, byte[] body) {}
 
   private StoreCaller(EventLoop loop, UpstreamClient client, String storeAddress) {
     this.loop = loop;
@@ -77,7 +79,7 @@
 
     @Override
     public void onComplete() {
-      result.complete(new Answer(status(), body()));
+      result.complete(new Answer(status(), headers(), body()));
     }
 
     @Override
