Read everything again when the store comes back with an older copy (CONFIG)

Upstreams that had left, revoked keys and released prompt parts came back with the copy; entries of gateways and quarantined parts were lost.

A position in the store is now a pair of era and revision: a later era in any answer voids all calls in flight and everything is read again; answers of a former era are not used (core.roster.StoreHistory). Until the operators wrote in the new era, 2 s have passed or a gateway has marked the era as settled (key history), the store confirms no API keys, and a gateway without configuration takes none. Entries that an upstream wrote before it left don't make it usable (DepartedUpstreams). Each gateway writes its entry again unless the copy has it with its lease; quarantined parts are written again and released ones removed again by one gateway.

--- a/core/src/main/java/org/oriolewell/core/roster/UpstreamRoster.java
+++ b/core/src/main/java/org/oriolewell/core/roster/UpstreamRoster.java
@@ -19,12 +19,16 @@
  * lapseGrace} after the outage; if it is still missing then, it is removed. An entry that
  * disappears while the store is available is removed at once.
  *
+ * <p>A store that was restored from a copy may lack entries, as after an outage, and may list
+ * upstreams as ready that have left; they stay unused until they write an entry of their own.
+ *
  * <p>Times are monotonic, in nanoseconds. Not thread-safe.
  */
 public final class UpstreamRoster {
   private final long lapseGraceNanos;
-  private final Map<String, UpstreamInstance> listedById = new HashMap<>();
-  private final Map<String, UpstreamInstance> missingSinceOutageById = new HashMap<>();
+  private final Map<String, UpstreamEntry> listedById = new HashMap<>();
+  private final Map<String, UpstreamEntry> missingSinceOutageById = new HashMap<>();
+  private final DepartedUpstreams departedUpstreams = new DepartedUpstreams();
   private Map<String, List<UpstreamInstance>> usableByService = Map.of();
   private long outageEndedAt;
   private boolean storeUnavailable;
@@ -57,34 +61,60 @@
     }
   }
 
-  /** Adds or updates an upstream whose entry was written to the store. */
-  public void entryWritten(UpstreamInstance instance) {
-    listedById.put(instance.id(), instance);
-    missingSinceOutageById.remove(instance.id());
+  /** Records that the store has come back with an older copy of its entries. */
+  public void storeRestored(long now) {
+    storeLost();
+    storeRegained(now);
+    departedUpstreams.storeRestored();
+  }
+
+  /**
+   * Adds or updates an upstream whose entry was written to the store.
+   *
+   * @return false if the entry is ignored, since its upstream has left after writing it
+   */
+  public boolean entryWritten(UpstreamEntry entry, long now) {
+    boolean accepted = accept(entry, now);
     updateUsable();
+    return accepted;
+  }
+
+  private boolean accept(UpstreamEntry entry, long now) {
+    if (departedUpstreams.isOutdated(entry, now)) {
+      return false;
+    }
+    String id = entry.instance().id();
+    listedById.put(id, entry);
+    missingSinceOutageById.remove(id);
+    if (entry.instance().draining()) {
+      departedUpstreams.departed(entry, now);
+    } else {
+      departedUpstreams.returned(id);
+    }
+    return true;
   }
 
   /** Removes an upstream whose entry disappeared from the store, unless it may have expired. */
   public void entryRemoved(String id, long now) {
-    UpstreamInstance removedInstance = listedById.remove(id);
-    if (removedInstance != null && !removedInstance.draining() && mayHaveExpired(now)) {
-      missingSinceOutageById.put(id, removedInstance);
+    UpstreamEntry removedEntry = listedById.remove(id);
+    if (removedEntry != null && !removedEntry.instance().draining()) {
+      if (mayHaveExpired(now)) {
+        missingSinceOutageById.put(id, removedEntry);
+      } else {
+        departedUpstreams.departed(removedEntry, now);
+      }
     }
     updateUsable();
   }
 
   /** Replaces the listed upstreams by a complete list read from the store. */
-  public void replaceAll(Collection<UpstreamInstance> instances, long now) {
+  public void replaceAll(Collection<UpstreamEntry> entries, long now) {
     Set<String> presentIds = new HashSet<>();
-    instances.forEach(instance -> presentIds.add(instance.id()));
+    entries.forEach(entry -> presentIds.add(entry.instance().id()));
     List.copyOf(listedById.keySet()).stream()
         .filter(id -> !presentIds.contains(id))
         .forEach(id -> entryRemoved(id, now));
-    instances.forEach(
-        instance -> {
-          listedById.put(instance.id(), instance);
-          missingSinceOutageById.remove(instance.id());
-        });
+    entries.forEach(entry -> accept(entry, now));
     updateUsable();
   }
 
@@ -93,10 +123,11 @@
     if (missingSinceOutageById.isEmpty() || mayHaveExpired(now)) {
       return List.of();
     }
-    List<UpstreamInstance> removedInstances = List.copyOf(missingSinceOutageById.values());
+    List<UpstreamEntry> removedEntries = List.copyOf(missingSinceOutageById.values());
     missingSinceOutageById.clear();
+    removedEntries.forEach(entry -> departedUpstreams.departed(entry, now));
     updateUsable();
-    return removedInstances;
+    return removedEntries.stream().map(UpstreamEntry::instance).toList();
   }
 
   private boolean mayHaveExpired(long now) {
@@ -110,15 +141,17 @@
 
   /** Returns the upstream with an id, if it is listed or missing since an outage. */
   public Optional<UpstreamInstance> find(String id) {
-    @Nullable UpstreamInstance instance = listedById.get(id);
-    return Optional.ofNullable(instance == null ? missingSinceOutageById.get(id) : instance);
+    @Nullable UpstreamEntry entry = listedById.get(id);
+    return Optional.ofNullable(entry == null ? missingSinceOutageById.get(id) : entry)
+        .map(UpstreamEntry::instance);
   }
 
   private void updateUsable() {
     Map<String, List<UpstreamInstance>> usable = new HashMap<>();
-    List<UpstreamInstance> instances = new ArrayList<>(listedById.values());
-    instances.addAll(missingSinceOutageById.values());
-    instances.stream()
+    List<UpstreamEntry> entries = new ArrayList<>(listedById.values());
+    entries.addAll(missingSinceOutageById.values());
+    entries.stream()
+        .map(UpstreamEntry::instance)
         .filter(instance -> !instance.draining())
         .forEach(
             instance ->
--- a/core/src/test/java/org/oriolewell/core/roster/RosterTest.java
+++ b/core/src/test/java/org/oriolewell/core/roster/RosterTest.java
@@ -12,22 +12,29 @@
 
   private final UpstreamRoster roster = UpstreamRoster.create(Duration.ofSeconds(2));
 
-  private static UpstreamInstance instance(String id, long startedMillis, boolean draining) {
-    return new UpstreamInstance(id, startedMillis, "engine", "10.0.0.1:80", "z", 8, draining);
+  private static UpstreamEntry entry(String id, long startedMillis, boolean draining) {
+    return entry(id, startedMillis, draining, 1);
+  }
+
+  private static UpstreamEntry entry(
+      String id, long startedMillis, boolean draining, long sequence) {
+    return new UpstreamEntry(
+        new UpstreamInstance(id, startedMillis, "engine", "10.0.0.1:80", "z", 8, draining),
+        sequence);
   }
 
   @Test
   void drainingUpstreamTakesNoWork() {
-    roster.entryWritten(instance("a", 1, false));
+    roster.entryWritten(entry("a", 1, false), 0);
     assertThat(roster.usable("engine")).hasSize(1);
-    roster.entryWritten(instance("a", 1, true));
+    roster.entryWritten(entry("a", 1, true), 0);
 
     assertThat(roster.usable("engine")).isEmpty();
   }
 
   @Test
   void entryRemovedWhileStoreIsAvailableIsRemovedAtOnce() {
-    roster.entryWritten(instance("a", 1, false));
+    roster.entryWritten(entry("a", 1, false), 0);
     roster.entryRemoved("a", 5 * NANOS_PER_SECOND);
 
     assertThat(roster.usable("engine")).isEmpty();
@@ -35,7 +42,7 @@
 
   @Test
   void entryMissingAfterOutageStaysUsableUntilGraceEnds() {
-    roster.entryWritten(instance("a", 1, false));
+    roster.entryWritten(entry("a", 1, false), 0);
     roster.storeLost();
     roster.storeRegained(10 * NANOS_PER_SECOND);
     roster.replaceAll(List.of(), 10 * NANOS_PER_SECOND);
@@ -48,7 +55,7 @@
 
   @Test
   void drainingEntryMissingAfterOutageIsRemovedAtOnce() {
-    roster.entryWritten(instance("a", 1, true));
+    roster.entryWritten(entry("a", 1, true), 0);
     roster.storeLost();
     roster.storeRegained(10 * NANOS_PER_SECOND);
     roster.replaceAll(List.of(), 10 * NANOS_PER_SECOND);
@@ -58,10 +65,10 @@
 
   @Test
   void restartedUpstreamReplacesItsOldInstance() {
-    roster.entryWritten(instance("a", 1, false));
-    roster.entryWritten(instance("a", 2, false));
+    roster.entryWritten(entry("a", 1, false), 0);
+    roster.entryWritten(entry("a", 2, false), 0);
 
-    assertThat(roster.usable("engine")).containsExactly(instance("a", 2, false));
+    assertThat(roster.usable("engine")).containsExactly(entry("a", 2, false).instance());
   }
 
   @Test
--- a/gateway/src/main/java/org/oriolewell/gateway/ControlFeed.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlFeed.java
@@ -3,7 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.oriolewell.core.roster.UpstreamInstance;
+import java.util.concurrent.CompletionException;
+import org.oriolewell.core.roster.UpstreamEntry;
 import org.oriolewell.core.route.RouteTable;
 
 /**
@@ -14,17 +15,17 @@
 
   /** One change of the configuration or of a list, or one of their current values. */
   sealed interface Update {
-    /** A version of the configuration was read. */
-    record Configured(RouteTable table) implements Update {}
+    /** A version of the configuration was read, which was written at a store revision. */
+    record Configured(RouteTable table, long revision) implements Update {}
 
     /** An upstream was added or its entry has changed. */
-    record UpstreamListed(UpstreamInstance upstream) implements Update {}
+    record UpstreamListed(UpstreamEntry entry) implements Update {}
 
     /** An upstream was removed. */
     record UpstreamUnlisted(String id) implements Update {}
 
-    /** A gateway was added or its entry has changed. */
-    record PeerListed(Peer peer) implements Update {}
+    /** A gateway was added or its entry, which expires with a lease, has changed. */
+    record PeerListed(Peer peer, long leaseId) implements Update {}
 
     /** A gateway was removed. */
     record PeerUnlisted(String name) implements Update {}
@@ -35,6 +36,9 @@
     /** A prompt part is no longer in quarantine. */
     record PartReleased(String part) implements Update {}
 
+    /** Gateways have marked the history of the store with this era as settled. */
+    record HistorySettled(long era) implements Update {}
+
     /** An entry of the store could not be decoded and is ignored. */
     record Unreadable(String key, String problem) implements Update {}
   }
@@ -88,6 +92,17 @@
     public Reason reason() {
       return reason;
     }
+
+    /** Returns the cause of the failure of a call, as its result reports it. */
+    static Reason reasonOf(Throwable failure) {
+      Throwable cause =
+          failure instanceof CompletionException && failure.getCause() != null
+              ? failure.getCause()
+              : failure;
+      return cause instanceof FeedException feedException
+          ? feedException.reason()
+          : Reason.UNAVAILABLE;
+    }
   }
 
   /** Receives the era of each answer of the store, on the event loop. */
@@ -139,4 +154,7 @@
 
   /** Removes a prompt part from quarantine. */
   CompletableFuture<Void> release(String part);
+
+  /** Marks the history of the store with an era as settled. */
+  CompletableFuture<Void> markSettled(long era);
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
@@ -9,12 +9,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.CompletionException;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.roster.StoreHistory;
+import org.oriolewell.core.roster.StoreHistory.Change;
+import org.oriolewell.core.roster.UpstreamEntry;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.roster.UpstreamRoster;
 import org.oriolewell.core.roster.ViewFreshness;
 import org.oriolewell.core.route.RouteTable;
+import org.oriolewell.core.routing.Hashing;
 import org.oriolewell.gateway.ControlFeed.Batch;
 import org.oriolewell.gateway.ControlFeed.FeedException;
 import org.oriolewell.gateway.ControlFeed.Peer;
@@ -56,13 +59,11 @@
   /** Part of the key revocation limit that is reserved for sending a request to its upstream. */
   private static final Duration REVOCATION_MARGIN = Duration.ofMillis(600);
 
-  /**
-   * Lease of this gateway's entry; peers try to connect to a dead gateway for at most this time.
-   */
-  private static final Duration LEASE_DURATION = Duration.ofSeconds(10);
+  /** Time after which gateways mark a history as settled that the first of them has not. */
+  private static final Duration MISSING_MARK_DELAY = Duration.ofSeconds(2);
 
-  /** Interval of lease renewals; two may fail before the lease expires. */
-  private static final Duration LEASE_RENEW_INTERVAL = Duration.ofSeconds(3);
+  /** Further delay of such a write, different for each gateway, so that one is enough. */
+  private static final int MAX_DELAY_SPREAD_MILLIS = 2000;
 
   private final EventLoop loop;
   private final ControlFeed feed;
@@ -75,16 +76,38 @@
   private final List<Runnable> changeListeners = new ArrayList<>();
   private QuarantineListener quarantineListener = new QuarantineListener() {};
   private @Nullable RouteTable table;
+  private final Duration settleTime;
+  private final StoreHistory history;
+  private final SelfRegistration registration;
+
+  /** Peers whose entries a restored store lacks; they have their lease to write them again. */
+  private final Set<String> unconfirmedPeers = new HashSet<>();
+
+  /** Configuration that a gateway without one has read in a history that isn't settled. */
+  private Update.@Nullable Configured heldConfig;
+
   private boolean storeLost;
   private Duration retryDelay = FIRST_RETRY_DELAY;
-  private long leaseId;
+
+  /** Raised when the store was restored, so that answers to earlier calls are ignored. */
+  private int reading;
+
+  /** Whether the store was restored and not read since. */
+  private boolean restoredUnread;
+
+  /** Store revision of the configuration in force; 0 if there is none. */
+  private long configRevision;
+
+  /** Era in which {@link #onSettled} was called last. */
+  private long settledEra;
+
+  /** Era that is marked as settled in the store. */
+  private long markedEra;
 
   /** Store revision that the copy reflects; 0 before the first snapshot. */
   private long storeRevision;
 
   private boolean confirmingFreshness;
-  private boolean unregistering;
-  private long storeEra;
 
   /** Receives the entries of the store about prompt parts in quarantine. */
   interface QuarantineListener {
@@ -94,8 +117,13 @@
     /** Called when the entry of a part was removed. */
     default void onReleased(String part) {}
 
-    /** Called with all listed parts when everything was read again. */
-    default void onSnapshot(Set<String> quarantinedParts) {}
+    /**
+     * Called when everything was read again.
+     *
+     * @param trialDelaysByPart times until the trials of all listed parts
+     * @param restored whether the store has come back with an older copy of its content
+     */
+    default void onSnapshot(Map<String, Duration> trialDelaysByPart, boolean restored) {}
   }
 
   private ControlPlane(
@@ -104,6 +132,7 @@
       Peer self,
       Duration revocationLimit,
       Duration lapseGrace,
+      Duration settleTime,
       InstantSource clock,
       EventLog log) {
     this.loop = loop;
@@ -113,6 +142,9 @@
     this.log = log;
     this.roster = UpstreamRoster.create(lapseGrace);
     this.freshness = ViewFreshness.create(revocationLimit.minus(REVOCATION_MARGIN));
+    this.settleTime = settleTime;
+    this.history = StoreHistory.create(settleTime);
+    this.registration = new SelfRegistration(loop, feed, self, log);
   }
 
   /**
@@ -120,6 +152,8 @@
    *
    * @param revocationLimit time after its revocation from which an API key must be refused
    * @param lapseGrace time after the store's recovery in which upstreams renew expired entries
+   * @param settleTime time after the return of a restored store within which the operators write
+   *     their configuration again
    */
   static ControlPlane create(
       EventLoop loop,
@@ -127,9 +161,10 @@
       Peer self,
       Duration revocationLimit,
       Duration lapseGrace,
+      Duration settleTime,
       InstantSource clock,
       EventLog log) {
-    return new ControlPlane(loop, feed, self, revocationLimit, lapseGrace, clock, log);
+    return new ControlPlane(loop, feed, self, revocationLimit, lapseGrace, settleTime, clock, log);
   }
 
   /** Begins to read the store and registers this gateway. */
@@ -137,7 +172,7 @@
     loop.every(CHECK_INTERVAL, this::runPeriodicChecks);
     feed.observeEras(this::onEra);
     readSnapshot();
-    register();
+    registration.start();
   }
 
   /** Adds a task that runs after each change of the configuration, upstreams or gateways. */
@@ -165,6 +200,14 @@
     return peersByName.values();
   }
 
+  /** Returns whether this gateway is the first of all by rendezvous hashing for a subject. */
+  boolean ranksFirst(String subject) {
+    long subjectHash = Hashing.of(subject);
+    long ownRank = Hashing.rank(subjectHash, Hashing.of(self.name()));
+    return peersByName.keySet().stream()
+        .allMatch(name -> Hashing.rank(subjectHash, Hashing.of(name)) <= ownRank);
+  }
+
   /** Returns the entry of this gateway. */
   Peer self() {
     return self;
@@ -202,31 +245,100 @@
 
   private void confirmFreshness() {
     long sentAt = loop.now();
+    int currentReading = reading;
     feed.changes(storeRevision, POLL_WAIT_AFTER_FAILURE)
         .whenComplete(
             (batch, failure) ->
                 loop.execute(
                     () -> {
-                      if (failure == null && batch.updates().isEmpty()) {
-                        freshness.confirm(sentAt, sentAt);
+                      if (failure == null
+                          && currentReading == reading
+                          && batch.updates().isEmpty()) {
+                        confirmCopy(sentAt, sentAt);
                       }
                       confirmingFreshness = !freshness.fresh(loop.now());
                       if (confirmingFreshness) {
-                        Duration pause = failure == null ? CHANGE_BATCH_DELAY : MAX_RETRY_DELAY;
-                        loop.after(pause, this::confirmFreshness);
+                        boolean soon = failure == null && history.isSettled(loop.now());
+                        loop.after(
+                            soon ? CHANGE_BATCH_DELAY : MAX_RETRY_DELAY, this::confirmFreshness);
                       }
                     }));
   }
 
+  /** Records that the store confirmed the copy, unless acknowledged changes may be missing. */
+  private void confirmCopy(long sentAt, long validAt) {
+    if (history.isSettled(validAt)) {
+      freshness.confirm(sentAt, validAt);
+    }
+  }
+
   private boolean onEra(long era) {
-    if (era > storeEra && storeEra > 0) {
-      log.event(GatewayEvent.STORE_RESTORED)
-          .with("era", era)
-          .with("known_revision", storeRevision)
-          .write();
+    long knownEra = history.era();
+    Change change = history.observe(era, loop.now());
+    if (history.era() != knownEra) {
+      loop.after(
+          settleTime,
+          () -> {
+            if (history.era() == era) {
+              onSettled();
+            }
+          });
+    }
+    if (change == Change.RESTORED) {
+      onStoreRestored(era);
+    }
+    return change != Change.OUTDATED;
+  }
+
+  private void onStoreRestored(long era) {
+    log.event(GatewayEvent.STORE_RESTORED)
+        .with("era", era)
+        .with("known_revision", storeRevision)
+        .write();
+    reading++;
+    restoredUnread = true;
+    roster.storeRestored(loop.now());
+    registration.storeRestored();
+    readSnapshot();
+  }
+
+  /** Applies what was held back until the history of the store is settled, and marks it. */
+  private void onSettled() {
+    long era = history.era();
+    if (era == 0 || settledEra == era) {
+      return;
+    }
+    settledEra = era;
+    Update.Configured config = heldConfig;
+    heldConfig = null;
+    if (config != null && table == null) {
+      applyTable(config);
+      notifyListeners();
     }
-    storeEra = Math.max(storeEra, era);
-    return true;
+    if (!freshness.fresh(loop.now())) {
+      startConfirmingFreshness();
+    }
+    int spreadMillis = Math.floorMod(Hashing.of(self.name()), MAX_DELAY_SPREAD_MILLIS);
+    Duration delay =
+        ranksFirst(Long.toString(era))
+            ? Duration.ZERO
+            : MISSING_MARK_DELAY.plusMillis(spreadMillis);
+    loop.after(delay, () -> markSettled(era));
+  }
+
+  private void markSettled(long era) {
+    if (markedEra == era || history.era() != era) {
+      return;
+    }
+    feed.markSettled(era)
+        .whenComplete(
+            (done, failure) ->
+                loop.execute(
+                    () -> {
+                      if (failure != null) {
+                        loop.after(MAX_RETRY_DELAY, () -> markSettled(era));
+                      }
+                    }));
   }
 
   private void runPeriodicChecks() {
@@ -245,42 +357,63 @@
 
   private void readSnapshot() {
     long sentAt = loop.now();
+    int currentReading = reading;
     feed.snapshot()
         .whenComplete(
             (batch, failure) ->
                 loop.execute(
                     () -> {
+                      if (currentReading != reading) {
+                        return;
+                      }
                       if (failure != null) {
                         onStoreLost(failure);
-                        loop.after(nextRetryDelay(), this::readSnapshot);
+                        afterPause(nextRetryDelay(), this::readSnapshot);
                       } else {
                         onStoreRegained();
                         replaceAll(batch);
-                        freshness.confirm(sentAt, sentAt);
+                        confirmCopy(sentAt, sentAt);
                         notifyListeners();
                         pollChanges(batch.revision(), POLL_WAIT);
                       }
                     }));
   }
 
+  /** Goes on with reading after a pause, unless the store was restored meanwhile. */
+  private void afterPause(Duration pause, Runnable task) {
+    int currentReading = reading;
+    loop.after(
+        pause,
+        () -> {
+          if (currentReading == reading) {
+            task.run();
+          }
+        });
+  }
+
   private void pollChanges(long afterRevision, Duration maxWait) {
     long sentAt = loop.now();
+    int currentReading = reading;
     storeRevision = afterRevision;
     feed.changes(afterRevision, maxWait)
         .whenComplete(
             (batch, failure) ->
                 loop.execute(
                     () -> {
+                      if (currentReading != reading) {
+                        return;
+                      }
                       if (failure == null) {
                         applyChanges(batch, sentAt, maxWait);
-                      } else if (failureReason(failure) == FeedException.Reason.HISTORY_LOST) {
+                      } else if (FeedException.reasonOf(failure)
+                          == FeedException.Reason.HISTORY_LOST) {
                         log.event(GatewayEvent.HISTORY_LOST)
                             .with("revision", afterRevision)
                             .write();
                         readSnapshot();
                       } else {
                         onStoreLost(failure);
-                        loop.after(
+                        afterPause(
                             nextRetryDelay(),
                             () -> pollChanges(afterRevision, POLL_WAIT_AFTER_FAILURE));
                       }
@@ -292,49 +425,107 @@
     observeClocks();
     // An empty answer after the full wait confirms its end; any other only confirms the send time.
     boolean fullWait = batch.updates().isEmpty() && loop.now() - sentAt >= maxWait.toNanos();
-    batch.updates().forEach(this::applyUpdate);
-    freshness.confirm(sentAt, fullWait ? sentAt + maxWait.toNanos() : sentAt);
+    batch.updates().forEach(this::applyChange);
+    confirmCopy(sentAt, fullWait ? sentAt + maxWait.toNanos() : sentAt);
     storeRevision = batch.revision();
     if (batch.updates().isEmpty()) {
       pollChanges(batch.revision(), POLL_WAIT);
     } else {
       notifyListeners();
-      loop.after(CHANGE_BATCH_DELAY, () -> pollChanges(batch.revision(), POLL_WAIT));
+      afterPause(CHANGE_BATCH_DELAY, () -> pollChanges(batch.revision(), POLL_WAIT));
+    }
+  }
+
+  private void applyChange(Update change) {
+    applyUpdate(change);
+    if (change instanceof Update.Configured configured
+        && (table == null || configured.table().version() >= table.version())) {
+      settle();
     }
   }
 
+  /** Records that the operators have written their configuration in the current history. */
+  private void settle() {
+    history.confirm(history.era());
+    onSettled();
+  }
+
   private void replaceAll(Batch batch) {
-    List<UpstreamInstance> upstreams = new ArrayList<>();
+    final boolean restored = restoredUnread;
+    restoredUnread = false;
+    List<UpstreamEntry> upstreams = new ArrayList<>();
     Set<String> listedNames = new HashSet<>();
-    Set<String> quarantinedParts = new HashSet<>();
+    Map<String, Duration> trialDelaysByPart = new HashMap<>();
+    long ownLeaseId = 0;
     for (Update update : batch.updates()) {
       if (update instanceof Update.UpstreamListed listed) {
-        upstreams.add(listed.upstream());
+        upstreams.add(listed.entry());
+      } else if (update instanceof Update.PartQuarantined listed) {
+        trialDelaysByPart.put(listed.part(), listed.trialDelay());
+      } else if (update instanceof Update.Configured configured && restored) {
+        applyRestoredConfig(configured);
       } else {
         if (update instanceof Update.PeerListed listed) {
           listedNames.add(listed.peer().name());
-        } else if (update instanceof Update.PartQuarantined listed) {
-          quarantinedParts.add(listed.part());
+          ownLeaseId = listed.peer().name().equals(self.name()) ? listed.leaseId() : ownLeaseId;
         }
         applyUpdate(update);
       }
     }
     roster.replaceAll(upstreams, loop.now());
-    peersByName.keySet().retainAll(listedNames);
-    quarantineListener.onSnapshot(quarantinedParts);
+    if (restored) {
+      keepPeersForLease(listedNames);
+      registration.entryRead(ownLeaseId);
+    }
+    peersByName
+        .keySet()
+        .removeIf(name -> !listedNames.contains(name) && !unconfirmedPeers.contains(name));
+    quarantineListener.onSnapshot(trialDelaysByPart, restored);
+  }
+
+  /**
+   * Applies the configuration of a restored store. The same version at another revision was written
+   * again by the operators; it is their newest if this gateway knew the newest before.
+   */
+  private void applyRestoredConfig(Update.Configured configured) {
+    RouteTable currentTable = table;
+    boolean writtenAgain =
+        currentTable != null
+            && configured.table().version() == currentTable.version()
+            && configured.revision() != configRevision;
+    applyUpdate(configured);
+    if (writtenAgain && freshness.fresh(loop.now())) {
+      settle();
+    }
+  }
+
+  /** Keeps the peers that a restored store doesn't list until they had time to register again. */
+  private void keepPeersForLease(Set<String> listedNames) {
+    unconfirmedPeers.clear();
+    unconfirmedPeers.addAll(peersByName.keySet());
+    unconfirmedPeers.removeAll(listedNames);
+    afterPause(
+        SelfRegistration.LEASE_DURATION,
+        () -> {
+          if (peersByName.keySet().removeAll(unconfirmedPeers)) {
+            notifyListeners();
+          }
+          unconfirmedPeers.clear();
+        });
   }
 
   private void applyUpdate(Update update) {
     if (update instanceof Update.Configured configured) {
-      applyTable(configured.table());
+      applyConfig(configured);
     } else if (update instanceof Update.UpstreamListed listed) {
-      applyUpstream(listed.upstream());
+      applyUpstream(listed.entry());
     } else if (update instanceof Update.UpstreamUnlisted unlisted) {
       roster.entryRemoved(unlisted.id(), loop.now());
       log.event(GatewayEvent.UPSTREAM_UNLISTED).with("upstream", unlisted.id()).write();
     } else if (update instanceof Update.PeerListed listed) {
       if (!listed.peer().name().equals(self.name())) {
         peersByName.put(listed.peer().name(), listed.peer());
+        unconfirmedPeers.remove(listed.peer().name());
       }
     } else if (update instanceof Update.PeerUnlisted unlisted) {
       peersByName.remove(unlisted.name());
@@ -342,6 +533,12 @@
       quarantineListener.onQuarantined(quarantined.part(), quarantined.trialDelay());
     } else if (update instanceof Update.PartReleased released) {
       quarantineListener.onReleased(released.part());
+    } else if (update instanceof Update.HistorySettled settled) {
+      markedEra = settled.era();
+      history.confirm(settled.era());
+      if (history.isSettled(loop.now())) {
+        onSettled();
+      }
     } else if (update instanceof Update.Unreadable unreadable) {
       log.event(GatewayEvent.ENTRY_UNREADABLE)
           .with("key", unreadable.key())
@@ -350,10 +547,10 @@
     }
   }
 
-  private void applyUpstream(UpstreamInstance upstream) {
+  private void applyUpstream(UpstreamEntry entry) {
+    UpstreamInstance upstream = entry.instance();
     boolean alreadyListed = roster.find(upstream.id()).filter(upstream::equals).isPresent();
-    roster.entryWritten(upstream);
-    if (!alreadyListed) {
+    if (roster.entryWritten(entry, loop.now()) && !alreadyListed) {
       log.event(GatewayEvent.UPSTREAM_LISTED)
           .with("upstream", upstream.id())
           .with("service", upstream.service())
@@ -364,7 +561,16 @@
     }
   }
 
-  private void applyTable(RouteTable newTable) {
+  private void applyConfig(Update.Configured configured) {
+    if (table == null && !history.isSettled(loop.now())) {
+      heldConfig = configured;
+    } else {
+      applyTable(configured);
+    }
+  }
+
+  private void applyTable(Update.Configured configured) {
+    RouteTable newTable = configured.table();
     RouteTable currentTable = table;
     if (currentTable != null && newTable.version() < currentTable.version()) {
       log.event(GatewayEvent.CONFIG_OUTDATED)
@@ -377,6 +583,7 @@
       log.event(GatewayEvent.CONFIG_APPLIED).with("version", newTable.version()).write();
     }
     table = newTable;
+    configRevision = configured.revision();
   }
 
   private void notifyListeners() {
@@ -407,60 +614,8 @@
     return delay;
   }
 
-  private static FeedException.Reason failureReason(Throwable failure) {
-    Throwable cause =
-        failure instanceof CompletionException && failure.getCause() != null
-            ? failure.getCause()
-            : failure;
-    return cause instanceof FeedException feedException
-        ? feedException.reason()
-        : FeedException.Reason.UNAVAILABLE;
-  }
-
-  private void register() {
-    if (unregistering) {
-      return;
-    }
-    feed.register(self, LEASE_DURATION)
-        .whenComplete(
-            (grantedLeaseId, failure) ->
-                loop.execute(
-                    () -> {
-                      if (failure != null) {
-                        log.event(GatewayEvent.REGISTRATION_FAILED).cause(failure).write();
-                        loop.after(MAX_RETRY_DELAY, this::register);
-                      } else {
-                        leaseId = grantedLeaseId;
-                        log.event(GatewayEvent.REGISTERED).with("lease", grantedLeaseId).write();
-                        loop.after(LEASE_RENEW_INTERVAL, this::renew);
-                      }
-                    }));
-  }
-
-  private void renew() {
-    if (unregistering) {
-      return;
-    }
-    feed.renewLease(leaseId)
-        .whenComplete(
-            (done, failure) ->
-                loop.execute(
-                    () -> {
-                      if (failure != null
-                          && failureReason(failure) == FeedException.Reason.LEASE_ENDED) {
-                        register();
-                      } else {
-                        loop.after(
-                            failure == null ? LEASE_RENEW_INTERVAL : MAX_RETRY_DELAY, this::renew);
-                      }
-                    }));
-  }
-
   /** Removes this gateway from the list of gateways. */
   void unregister() {
-    unregistering = true;
-    if (leaseId != 0) {
-      feed.endLease(leaseId);
-    }
+    registration.end();
   }
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -85,6 +85,7 @@
             self,
             settings.value(GatewaySettings.KEY_REVOCATION_LIMIT),
             settings.value(GatewaySettings.LAPSE_GRACE),
+            settings.value(GatewaySettings.SETTLE_TIME),
             clock,
             log);
     PrometheusRegistry registry = new PrometheusRegistry();
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewaySettings.java
@@ -70,6 +70,16 @@
           Duration.ofMinutes(1),
           "Time after the store's return within which upstreams write lapsed entries again.");
 
+  /** Time after the return of a restored store in which the operators write again. */
+  public static final Setting<Duration> SETTLE_TIME =
+      Setting.millis(
+          "store.settle_millis",
+          Duration.ofMillis(2000),
+          Duration.ZERO,
+          Duration.ofMinutes(1),
+          "Time after the return of a store with an older copy within which the operators write"
+              + " their configuration again.");
+
   /** Retries for each first attempt that the budget of all gateways allows. */
   public static final Setting<Double> RETRY_RATIO =
       Setting.number(
@@ -114,6 +124,7 @@
               KEY_REVOCATION_LIMIT,
               STOP_TIMEOUT,
               LAPSE_GRACE,
+              SETTLE_TIME,
               RETRY_RATIO,
               RETRY_SLACK,
               RETRY_WINDOW,
--- a/gateway/src/main/java/org/oriolewell/gateway/PromptGuard.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/PromptGuard.java
@@ -14,7 +14,6 @@
 import org.oriolewell.core.quarantine.PromptQuarantine.Decision;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.routing.Hashing;
-import org.oriolewell.gateway.ControlFeed.Peer;
 import org.oriolewell.gateway.ObservationExchange.Kind;
 import org.oriolewell.runtime.log.EventLog;
 import org.oriolewell.runtime.net.EventLoop;
@@ -49,6 +48,9 @@
   /** Pause after a write that failed. */
   private static final Duration WRITE_RETRY_DELAY = Duration.ofSeconds(1);
 
+  /** Most released parts that are remembered; the oldest are dropped. */
+  private static final int MAX_RELEASES = 256;
+
   /** Separates the ids in the report of a crash; header values can't contain it. */
   private static final String FIELD_SEPARATOR = "\n";
 
@@ -78,6 +80,12 @@
   private final Set<PendingRequest> pendingRequests = new HashSet<>();
   private final Set<String> storedParts = new HashSet<>();
 
+  /** Parts released lately; a store restored from a copy may list them again. */
+  private final Map<String, Long> releaseTimes = new LinkedHashMap<>();
+
+  /** Parts that a restored store lists although they were released. */
+  private final Set<String> outdatedParts = new HashSet<>();
+
   PromptGuard(
       EventLoop loop,
       ControlPlane control,
@@ -99,7 +107,7 @@
 
   /** Decides whether a request with these parts may be sent to an engine. */
   Decision decide(List<String> parts) {
-    return quarantine.decide(parts, this::ownsTrials, loop.now());
+    return quarantine.decide(parts, control::ranksFirst, loop.now());
   }
 
   /** Returns whether a request that failed at one engine may be sent to another. */
@@ -120,15 +128,6 @@
     pendingRequests.remove(request);
   }
 
-  /** One gateway sends the trials of a part: the first by rendezvous hashing. */
-  private boolean ownsTrials(String part) {
-    long partHash = Hashing.of(part);
-    long ownRank = Hashing.rank(partHash, Hashing.of(control.self().name()));
-    return control.peers().stream()
-        .map(Peer::name)
-        .allMatch(name -> Hashing.rank(partHash, Hashing.of(name)) <= ownRank);
-  }
-
   /**
    * Records that a connection was lost before the answer to a request was known to be sound, and
    * checks whether the engine has crashed.
@@ -244,6 +243,8 @@
   }
 
   private void enforce(String part, String reason) {
+    releaseTimes.remove(part);
+    outdatedParts.remove(part);
     log.event(GatewayEvent.PROMPT_QUARANTINED)
         .with("prompt_part", part)
         .with("reason", reason)
@@ -257,6 +258,11 @@
   }
 
   private void afterRelease(String part, String reason) {
+    releaseTimes.remove(part);
+    releaseTimes.put(part, loop.now());
+    if (releaseTimes.size() > MAX_RELEASES) {
+      releaseTimes.remove(releaseTimes.keySet().iterator().next());
+    }
     exchange.withdraw(Kind.PART_QUARANTINED, part);
     log.event(GatewayEvent.PROMPT_RELEASED)
         .with("prompt_part", part)
@@ -265,9 +271,7 @@
   }
 
   private void storeIfMissing(String part) {
-    int spreadMillis = Math.floorMod(Hashing.of(control.self().name()), MAX_DELAY_SPREAD_MILLIS);
-    loop.after(
-        MISSING_ENTRY_DELAY.plusMillis(spreadMillis),
+    afterOthers(
         () -> {
           if (!storedParts.contains(part)) {
             store(part);
@@ -275,6 +279,12 @@
         });
   }
 
+  /** Runs a task after another gateway had time to make it needless. */
+  private void afterOthers(Runnable task) {
+    int spreadMillis = Math.floorMod(Hashing.of(control.self().name()), MAX_DELAY_SPREAD_MILLIS);
+    loop.after(MISSING_ENTRY_DELAY.plusMillis(spreadMillis), task);
+  }
+
   private void removeFromStore(String part) {
     if (quarantine.isQuarantined(part)) {
       return;
@@ -318,17 +328,71 @@
   @Override
   public void onReleased(String part) {
     storedParts.remove(part);
+    outdatedParts.remove(part);
     if (quarantine.release(part)) {
       afterRelease(part, "no longer listed in the store");
     }
   }
 
   @Override
-  public void onSnapshot(Set<String> quarantinedParts) {
+  public void onSnapshot(Map<String, Duration> trialDelaysByPart, boolean restored) {
+    if (restored) {
+      reconcile(trialDelaysByPart);
+      return;
+    }
+    trialDelaysByPart.forEach(
+        (part, trialDelay) -> {
+          if (!outdatedParts.contains(part)) {
+            onQuarantined(part, trialDelay);
+          }
+        });
     for (String part : List.copyOf(storedParts)) {
-      if (!quarantinedParts.contains(part)) {
+      if (!trialDelaysByPart.containsKey(part)) {
         onReleased(part);
       }
     }
   }
+
+  /**
+   * Brings a store that was restored from a copy to what this gateway knows: parts that it lacks
+   * are written again, and parts that were released meanwhile are removed again.
+   */
+  private void reconcile(Map<String, Duration> trialDelaysByPart) {
+    storedParts.clear();
+    storedParts.addAll(trialDelaysByPart.keySet());
+    outdatedParts.clear();
+    long now = loop.now();
+    releaseTimes.values().removeIf(time -> now - time > ENTRY_LIFETIME.toNanos());
+    trialDelaysByPart.forEach(
+        (part, trialDelay) -> {
+          if (releaseTimes.containsKey(part)) {
+            outdatedParts.add(part);
+            removeOutdated(part);
+          } else {
+            onQuarantined(part, trialDelay);
+          }
+        });
+    for (String part : quarantine.quarantinedParts()) {
+      if (!storedParts.contains(part)) {
+        if (control.ranksFirst(part)) {
+          store(part);
+        } else {
+          storeIfMissing(part);
+        }
+      }
+    }
+  }
+
+  private void removeOutdated(String part) {
+    if (control.ranksFirst(part)) {
+      removeFromStore(part);
+    } else {
+      afterOthers(
+          () -> {
+            if (outdatedParts.contains(part)) {
+              removeFromStore(part);
+            }
+          });
+    }
+  }
 }
