--- a/core/src/main/java/org/oriolewell/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/org/oriolewell/core/quarantine/CrashEvidence.java
@@ -12,43 +12,54 @@
 import java.util.Set;
 
 /**
- * The crashes of engines at which each prompt part was present, since the last sound answer to a
- * prompt with that part. Bounded in size, since callers choose the parts.
+ * The crashes of upstreams at which each subject was present, since the last sound answer to a
+ * prompt with that subject. Bounded in size, since callers choose the subjects.
  */
 final class CrashEvidence {
-  /** Age from which a crash no longer counts. */
-  private static final Duration MAX_AGE = Duration.ofSeconds(60);
+  /** Age from which a crash no longer counts against a part of prompts. */
+  private static final Duration PART_MAX_AGE = Duration.ofSeconds(60);
 
   /**
-   * Crashes of several engines within this time count as one: the loss of a host or a rack ends all
-   * engines there at the same moment, whatever they are running.
+   * Age from which a crash no longer counts against a whole request. Few requests have the same
+   * fingerprint, so that one which comes once a minute is found, too.
+   */
+  private static final Duration REQUEST_MAX_AGE = Duration.ofMinutes(10);
+
+  /**
+   * Crashes of several upstreams within this time count as one: the loss of a host or a rack ends
+   * all upstreams there at the same moment, whatever they are running.
    */
   private static final Duration EPISODE_TIME = Duration.ofMillis(250);
 
-  /** Most parts that are kept; those that crashed first are dropped. */
-  static final int MAX_PARTS = 4096;
+  /** Most subjects that are kept; those that crashed first are dropped. */
+  static final int MAX_SUBJECTS = 4096;
 
   /** Most victims of one crash that are counted. */
   private static final int MAX_VICTIMS = 256;
 
-  /** Most parts of one prompt that are counted. */
-  private static final int MAX_PARTS_PER_PROMPT = 32;
+  /** Most subjects of one prompt that are counted. */
+  private static final int MAX_SUBJECTS_PER_REQUEST = 32;
 
-  /** Most engines and request ids that are kept for one part. */
-  private static final int MAX_ENTRIES_PER_PART = 32;
+  /** Most upstreams and request ids that are kept for one subject. */
+  private static final int MAX_ENTRIES_PER_SUBJECT = 32;
 
-  /** The part that explains a crash, while it is quarantined, and when that was found. */
-  private record Explanation(String part, long foundAt) {}
+  /** The subject that explains a crash, while it is quarantined, and when that was found. */
+  private record Explanation(String subject, long foundAt) {}
 
   private final class Suspect {
-    private final Map<String, Long> crashTimeByEngine = new LinkedHashMap<>();
+    private final Map<String, Long> crashTimeByUpstream = new LinkedHashMap<>();
     private final Set<String> requestIds = new LinkedHashSet<>();
+    private final long maxAgeNanos;
+
+    private Suspect(String subject) {
+      maxAgeNanos = (CrashSubject.isRequest(subject) ? REQUEST_MAX_AGE : PART_MAX_AGE).toNanos();
+    }
 
     private int episodes(long now) {
       List<Long> times = new ArrayList<>();
-      crashTimeByEngine.forEach(
-          (engine, time) -> {
-            if (!explanationsByEngine.containsKey(engine) && now - time <= MAX_AGE.toNanos()) {
+      crashTimeByUpstream.forEach(
+          (upstream, time) -> {
+            if (!explanationsByUpstream.containsKey(upstream) && now - time <= maxAgeNanos) {
               times.add(time);
             }
           });
@@ -64,103 +75,105 @@
       return episodes;
     }
 
-    private int unexplainedEngines() {
+    private int unexplainedUpstreams() {
       return (int)
-          crashTimeByEngine.keySet().stream()
-              .filter(engine -> !explanationsByEngine.containsKey(engine))
+          crashTimeByUpstream.keySet().stream()
+              .filter(upstream -> !explanationsByUpstream.containsKey(upstream))
               .count();
     }
   }
 
-  private final Map<String, Suspect> suspectsByPart = new LinkedHashMap<>();
+  private final Map<String, Suspect> suspectsBySubject = new LinkedHashMap<>();
 
-  /** Crashes that a quarantined part explains; they count against no other part. */
-  private final Map<String, Explanation> explanationsByEngine = new HashMap<>();
+  /** Crashes that a quarantined subject explains; they count against no other subject. */
+  private final Map<String, Explanation> explanationsByUpstream = new HashMap<>();
 
   boolean isEmpty() {
-    return suspectsByPart.isEmpty();
+    return suspectsBySubject.isEmpty();
   }
 
   int size() {
-    return suspectsByPart.size();
+    return suspectsBySubject.size();
   }
 
-  boolean contains(String part) {
-    return suspectsByPart.containsKey(part);
+  boolean contains(String subject) {
+    return suspectsBySubject.containsKey(subject);
   }
 
-  /** Records the crash of an engine; another report of the same crash adds its victims. */
-  void crashed(String engine, Collection<CrashVictim> victims, long now) {
-    victims.stream().limit(MAX_VICTIMS).forEach(victim -> addVictim(engine, victim, now));
-    while (suspectsByPart.size() > MAX_PARTS) {
-      suspectsByPart.remove(suspectsByPart.keySet().iterator().next());
+  /** Records the crash of an upstream; another report of the same crash adds its victims. */
+  void crashed(String upstream, Collection<CrashVictim> victims, long now) {
+    victims.stream().limit(MAX_VICTIMS).forEach(victim -> addVictim(upstream, victim, now));
+    while (suspectsBySubject.size() > MAX_SUBJECTS) {
+      suspectsBySubject.remove(suspectsBySubject.keySet().iterator().next());
     }
   }
 
-  private void addVictim(String engine, CrashVictim victim, long now) {
-    victim.promptParts().stream()
-        .limit(MAX_PARTS_PER_PROMPT)
-        .map(part -> suspectsByPart.computeIfAbsent(part, key -> new Suspect()))
-        .filter(suspect -> suspect.crashTimeByEngine.size() < MAX_ENTRIES_PER_PART)
+  private void addVictim(String upstream, CrashVictim victim, long now) {
+    victim.subjects().stream()
+        .limit(MAX_SUBJECTS_PER_REQUEST)
+        .map(subject -> suspectsBySubject.computeIfAbsent(subject, Suspect::new))
+        .filter(suspect -> suspect.crashTimeByUpstream.size() < MAX_ENTRIES_PER_SUBJECT)
         .forEach(
             suspect -> {
-              suspect.crashTimeByEngine.putIfAbsent(engine, now);
+              suspect.crashTimeByUpstream.putIfAbsent(upstream, now);
               suspect.requestIds.add(victim.requestId());
             });
   }
 
-  /** Records that a quarantined part explains the crash of an engine. */
-  void explained(String engine, String part, long now) {
-    explanationsByEngine.values().removeIf(known -> now - known.foundAt() > MAX_AGE.toNanos());
-    explanationsByEngine.put(engine, new Explanation(part, now));
+  /** Records that a quarantined subject explains the crash of an upstream. */
+  void explained(String upstream, String subject, long now) {
+    explanationsByUpstream
+        .values()
+        .removeIf(known -> now - known.foundAt() > REQUEST_MAX_AGE.toNanos());
+    explanationsByUpstream.put(upstream, new Explanation(subject, now));
   }
 
   /**
-   * Records a sound answer to a prompt with a part, which clears the part: the crashes that it
-   * seemed to explain count against the other parts again.
+   * Records a sound answer to a prompt with a subject, which clears the subject: the crashes that
+   * it seemed to explain count against the other subjects again.
    */
-  void cleared(String part) {
-    suspectsByPart.remove(part);
-    explanationsByEngine.values().removeIf(explanation -> explanation.part().equals(part));
+  void cleared(String subject) {
+    suspectsBySubject.remove(subject);
+    explanationsByUpstream.values().removeIf(explanation -> explanation.subject().equals(subject));
   }
 
-  /** Removes a part that is quarantined, which explains the crashes at which it was present. */
-  void convicted(String part, long now) {
-    Suspect suspect = suspectsByPart.remove(part);
+  /** Removes a subject that is quarantined, which explains the crashes at which it was present. */
+  void convicted(String subject, long now) {
+    Suspect suspect = suspectsBySubject.remove(subject);
     if (suspect != null) {
-      suspect.crashTimeByEngine.keySet().forEach(engine -> explained(engine, part, now));
+      suspect.crashTimeByUpstream.keySet().forEach(upstream -> explained(upstream, subject, now));
     }
   }
 
   /** Drops crashes that are too old to count. */
   void expire(long now) {
-    for (Suspect suspect : suspectsByPart.values()) {
-      suspect.crashTimeByEngine.values().removeIf(time -> now - time > MAX_AGE.toNanos());
+    for (Suspect suspect : suspectsBySubject.values()) {
+      suspect.crashTimeByUpstream.values().removeIf(time -> now - time > suspect.maxAgeNanos);
     }
-    suspectsByPart.values().removeIf(suspect -> suspect.crashTimeByEngine.isEmpty());
+    suspectsBySubject.values().removeIf(suspect -> suspect.crashTimeByUpstream.isEmpty());
   }
 
-  /** Returns the number of separate crashes that count against a part. */
-  int crashes(String part, long now) {
-    Suspect suspect = suspectsByPart.get(part);
+  /** Returns the number of separate crashes that count against a subject. */
+  int crashes(String subject, long now) {
+    Suspect suspect = suspectsBySubject.get(subject);
     return suspect == null ? 0 : suspect.episodes(now);
   }
 
-  /** Returns the number of different requests that count against a part. */
-  int requests(String part) {
-    Suspect suspect = suspectsByPart.get(part);
+  /** Returns the number of different requests that count against a subject. */
+  int requests(String subject) {
+    Suspect suspect = suspectsBySubject.get(subject);
     return suspect == null ? 0 : suspect.requestIds.size();
   }
 
-  /** Returns the number of engines that crashed while a part was present. */
-  int engines(String part) {
-    Suspect suspect = suspectsByPart.get(part);
-    return suspect == null ? 0 : suspect.unexplainedEngines();
+  /** Returns the number of upstreams that crashed while a subject was present. */
+  int upstreams(String subject) {
+    Suspect suspect = suspectsBySubject.get(subject);
+    return suspect == null ? 0 : suspect.unexplainedUpstreams();
   }
 
-  /** Returns the parts that at least the given number of different requests contained. */
-  List<String> partsWithRequests(int minRequests) {
-    return suspectsByPart.entrySet().stream()
+  /** Returns the subjects that at least the given number of different requests contained. */
+  List<String> subjectsWithRequests(int minRequests) {
+    return suspectsBySubject.entrySet().stream()
         .filter(entry -> entry.getValue().requestIds.size() >= minRequests)
         .map(Map.Entry::getKey)
         .toList();
--- a/core/src/main/java/org/oriolewell/core/quarantine/CrashVictim.java
+++ b/core/src/main/java/org/oriolewell/core/quarantine/CrashVictim.java
@@ -3,14 +3,14 @@
 import java.util.List;
 
 /**
- * A request that an engine was running when it crashed, and that may be the cause of the crash.
+ * A request that an upstream was running when it crashed, and that may be the cause of the crash.
  *
  * @param requestId identifier of the caller's attempt
- * @param promptParts ids of the parts of the prompt that other requests may share, in order
+ * @param subjects ids of the subjects of the prompt that other requests may share, in order
  */
-public record CrashVictim(String requestId, List<String> promptParts) {
-  /** Copies the list of parts. */
+public record CrashVictim(String requestId, List<String> subjects) {
+  /** Copies the list of subjects. */
   public CrashVictim {
-    promptParts = List.copyOf(promptParts);
+    subjects = List.copyOf(subjects);
   }
 }
--- a/core/src/test/java/org/oriolewell/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/oriolewell/core/quarantine/CrashQuarantineTest.java
@@ -10,13 +10,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.oriolewell.core.quarantine.PromptQuarantine.Decision;
+import org.oriolewell.core.quarantine.CrashQuarantine.Decision;
 
-class PromptQuarantineTest {
+class CrashQuarantineTest {
   private static final String FIRST = "f157";
   private static final String FATAL = "badc0de";
 
-  private final PromptQuarantine quarantine = PromptQuarantine.create();
+  private final CrashQuarantine quarantine = CrashQuarantine.create();
   private int requestCount;
 
   private static long millis(long value) {
@@ -33,13 +33,14 @@
 
   @Test
   void partPresentAtThreeCrashesIsHeldBack() {
-    assertThat(quarantine.engineCrashed("e1", List.of(victim(FIRST, FATAL)), millis(0))).isEmpty();
+    assertThat(quarantine.upstreamCrashed("e1", List.of(victim(FIRST, FATAL)), millis(0)))
+        .isEmpty();
     quarantine.answered(List.of(FIRST, "s1"));
-    assertThat(quarantine.engineCrashed("e2", List.of(victim(FIRST, FATAL)), millis(500)))
+    assertThat(quarantine.upstreamCrashed("e2", List.of(victim(FIRST, FATAL)), millis(500)))
         .isEmpty();
     quarantine.answered(List.of(FIRST, "s2"));
 
-    assertThat(quarantine.engineCrashed("e3", List.of(victim(FIRST, FATAL)), millis(900)))
+    assertThat(quarantine.upstreamCrashed("e3", List.of(victim(FIRST, FATAL)), millis(900)))
         .containsExactly(FATAL);
     assertThat(heldBack(FIRST, FATAL)).isTrue();
     assertThat(heldBack(FIRST, "s1")).isFalse();
@@ -68,16 +69,16 @@
     for (String[] report : reports) {
       List<CrashVictim> victims =
           Arrays.stream(report).skip(2).map(parts -> victim(parts.split(" "))).toList();
-      quarantine.engineCrashed(report[1], victims, millis(Long.parseLong(report[0])));
+      quarantine.upstreamCrashed(report[1], victims, millis(Long.parseLong(report[0])));
       quarantine.answered(List.of(FIRST));
     }
-    assertThat(quarantine.quarantinedParts()).containsExactly(FATAL);
+    assertThat(quarantine.quarantinedSubjects()).containsExactly(FATAL);
   }
 
   @Test
   void fatalFirstPartIsHeldBackAndItsSoundOtherPartsAreNot() {
     for (int i = 0; i < 3; i++) {
-      quarantine.engineCrashed("e" + i, List.of(victim(FATAL, "s" + i)), millis(i * 400L));
+      quarantine.upstreamCrashed("e" + i, List.of(victim(FATAL, "s" + i)), millis(i * 400L));
     }
     assertThat(heldBack(FATAL, "s9")).isTrue();
     assertThat(heldBack("s1")).isFalse();
@@ -89,32 +90,32 @@
     for (int rack = 0; rack < 5; rack++) {
       for (int engine = 0; engine < 6; engine++) {
         String id = "rack" + rack + "-" + engine;
-        quarantine.engineCrashed(
+        quarantine.upstreamCrashed(
             id, List.of(victim(FIRST, "hot"), victim(FIRST, "hot")), millis(rack * 2000L + engine));
       }
       quarantine.answered(List.of(FIRST, "hot"));
     }
-    assertThat(quarantine.quarantinedParts()).isEmpty();
+    assertThat(quarantine.quarantinedSubjects()).isEmpty();
   }
 
   /** Guards against evidence that a mistaken quarantine takes away from the part at fault. */
   @Test
   void fatalPartIsFoundAfterThePowerLossOfEnginesThatRanPopularPart() {
     for (int engine = 0; engine < 6; engine++) {
-      quarantine.engineCrashed("rack" + engine, List.of(victim(FIRST, "hot")), millis(engine));
+      quarantine.upstreamCrashed("rack" + engine, List.of(victim(FIRST, "hot")), millis(engine));
     }
-    quarantine.engineCrashed("e1", List.of(victim(FIRST, FATAL)), millis(500));
-    quarantine.engineCrashed("e2", List.of(victim(FIRST, FATAL)), millis(1000));
+    quarantine.upstreamCrashed("e1", List.of(victim(FIRST, FATAL)), millis(500));
+    quarantine.upstreamCrashed("e2", List.of(victim(FIRST, FATAL)), millis(1000));
     quarantine.answered(List.of(FIRST, "hot"));
-    quarantine.engineCrashed("e3", List.of(victim(FIRST, FATAL)), millis(1500));
+    quarantine.upstreamCrashed("e3", List.of(victim(FIRST, FATAL)), millis(1500));
 
-    assertThat(quarantine.quarantinedParts()).containsExactly(FATAL);
+    assertThat(quarantine.quarantinedSubjects()).containsExactly(FATAL);
   }
 
   @Test
   void engineReportedBySeveralGatewaysCountsOnce() {
     for (int i = 0; i < 9; i++) {
-      quarantine.engineCrashed("e1", List.of(victim(FATAL)), millis(i * 400L));
+      quarantine.upstreamCrashed("e1", List.of(victim(FATAL)), millis(i * 400L));
     }
     assertThat(heldBack(FATAL)).isFalse();
   }
@@ -123,7 +124,7 @@
   @Test
   void enginesThatCrashTogetherCountAsOneCrash() {
     for (int i = 0; i < 12; i++) {
-      quarantine.engineCrashed("e" + i, List.of(victim(FIRST), victim(FIRST)), millis(i * 20L));
+      quarantine.upstreamCrashed("e" + i, List.of(victim(FIRST), victim(FIRST)), millis(i * 20L));
     }
     assertThat(heldBack(FIRST)).isFalse();
   }
@@ -132,7 +133,7 @@
   void repeatsOfOneRequestAreNotEnoughEvidence() {
     CrashVictim repeated = victim("s1");
     for (int i = 0; i < 4; i++) {
-      quarantine.engineCrashed("e" + i, List.of(repeated), millis(i * 400L));
+      quarantine.upstreamCrashed("e" + i, List.of(repeated), millis(i * 400L));
     }
     assertThat(heldBack("s1")).isFalse();
   }
@@ -140,11 +141,11 @@
   @Test
   void partsThatTheEvidenceDoesNotTellApartWaitForAnotherCrash() {
     for (int i = 0; i < 3; i++) {
-      quarantine.engineCrashed("e" + i, List.of(victim("s1", FATAL)), millis(i * 400L));
+      quarantine.upstreamCrashed("e" + i, List.of(victim("s1", FATAL)), millis(i * 400L));
     }
     assertThat(heldBack("s1", FATAL)).isFalse();
 
-    assertThat(quarantine.engineCrashed("e4", List.of(victim("s2", FATAL)), millis(2000)))
+    assertThat(quarantine.upstreamCrashed("e4", List.of(victim("s2", FATAL)), millis(2000)))
         .containsExactly(FATAL);
     assertThat(heldBack("s1")).isFalse();
   }
@@ -152,12 +153,12 @@
   @Test
   void requestSentBeforeTheQuarantineIsNoEvidenceAgainstOtherParts() {
     for (int i = 0; i < 3; i++) {
-      quarantine.engineCrashed("e" + i, List.of(victim(FATAL)), millis(i * 400L));
+      quarantine.upstreamCrashed("e" + i, List.of(victim(FATAL)), millis(i * 400L));
     }
     for (int i = 10; i < 14; i++) {
-      quarantine.engineCrashed(
+      quarantine.upstreamCrashed(
           "e" + i, List.of(victim(FATAL), victim("s1"), victim("s1")), millis(i * 400L));
-      quarantine.engineCrashed("e" + i, List.of(victim("s1")), millis(i * 400L + 5));
+      quarantine.upstreamCrashed("e" + i, List.of(victim("s1")), millis(i * 400L + 5));
     }
     assertThat(heldBack("s1")).isFalse();
   }
@@ -165,17 +166,17 @@
   @Test
   void twoFatalPartsAreBothFound() {
     for (int i = 0; i < 3; i++) {
-      quarantine.engineCrashed("a" + i, List.of(victim(FIRST, FATAL)), millis(i * 700L));
+      quarantine.upstreamCrashed("a" + i, List.of(victim(FIRST, FATAL)), millis(i * 700L));
       quarantine.answered(List.of(FIRST));
-      quarantine.engineCrashed("b" + i, List.of(victim(FIRST, "bad2")), millis(i * 700L + 300));
+      quarantine.upstreamCrashed("b" + i, List.of(victim(FIRST, "bad2")), millis(i * 700L + 300));
       quarantine.answered(List.of(FIRST));
     }
-    assertThat(quarantine.quarantinedParts()).containsExactlyInAnyOrder(FATAL, "bad2");
+    assertThat(quarantine.quarantinedSubjects()).containsExactlyInAnyOrder(FATAL, "bad2");
   }
 
   @Test
   void soundAnswerEndsTheQuarantineAtOnce() {
-    quarantine.quarantine("s1", PromptQuarantine.FIRST_TRIAL_DELAY, 0);
+    quarantine.quarantine("s1", CrashQuarantine.FIRST_TRIAL_DELAY, 0);
     assertThat(quarantine.answered(List.of(FIRST, "s1"))).containsExactly("s1");
     assertThat(heldBack("s1")).isFalse();
   }
@@ -183,7 +184,7 @@
   @Test
   void requestIsNotRepeatedOnceItsPartWasAtAnEarlierCrash() {
     assertThat(quarantine.mayRepeat(List.of(FATAL))).isTrue();
-    quarantine.engineCrashed("e1", List.of(victim(FIRST, FATAL)), 0);
+    quarantine.upstreamCrashed("e1", List.of(victim(FIRST, FATAL)), 0);
     assertThat(quarantine.mayRepeat(List.of("s1"))).isTrue();
     assertThat(quarantine.mayRepeat(List.of("s1", FATAL))).isFalse();
   }
@@ -191,7 +192,7 @@
   /** Guards against a permanent quarantine, and against an engine that is lost every minute. */
   @Test
   void quarantinedPartIsTriedRarelyAndByItsOwnerOnly() {
-    quarantine.quarantine(FATAL, PromptQuarantine.FIRST_TRIAL_DELAY, 0);
+    quarantine.quarantine(FATAL, CrashQuarantine.FIRST_TRIAL_DELAY, 0);
     List<Long> trialSeconds = new ArrayList<>();
     for (long second = 0; second < 3600; second++) {
       long now = Duration.ofSeconds(second).toNanos();
@@ -219,10 +220,10 @@
                               .mapToObj(part -> crash + "-" + request + "-" + part)
                               .toList()))
               .toList();
-      quarantine.engineCrashed("e" + i, victims, millis(i));
-      quarantine.quarantine("q" + i, PromptQuarantine.FIRST_TRIAL_DELAY, millis(i));
+      quarantine.upstreamCrashed("e" + i, victims, millis(i));
+      quarantine.quarantine("q" + i, CrashQuarantine.FIRST_TRIAL_DELAY, millis(i));
     }
-    assertThat(quarantine.quarantinedParts()).hasSize(PromptQuarantine.MAX_QUARANTINED);
-    assertThat(quarantine.evidenceSize()).isLessThanOrEqualTo(CrashEvidence.MAX_PARTS);
+    assertThat(quarantine.quarantinedSubjects()).hasSize(CrashQuarantine.MAX_QUARANTINED);
+    assertThat(quarantine.evidenceSize()).isLessThanOrEqualTo(CrashEvidence.MAX_SUBJECTS);
   }
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/ControlFeed.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlFeed.java
@@ -30,11 +30,13 @@
     /** A gateway was removed. */
     record PeerUnlisted(String name) implements Update {}
 
-    /** A prompt part is in quarantine; it is tried again after the given time. */
-    record PartQuarantined(String part, Duration trialDelay) implements Update {}
+    /**
+     * A subject that crashes upstreams is in quarantine; it is tried again after the given time.
+     */
+    record SubjectQuarantined(String subject, Duration trialDelay) implements Update {}
 
-    /** A prompt part is no longer in quarantine. */
-    record PartReleased(String part) implements Update {}
+    /** A subject is no longer in quarantine. */
+    record SubjectReleased(String subject) implements Update {}
 
     /** Gateways have marked the history of the store with this era as settled. */
     record HistorySettled(long era) implements Update {}
@@ -145,15 +147,15 @@
   CompletableFuture<Void> endLease(long leaseId);
 
   /**
-   * Writes that a prompt part is in quarantine.
+   * Writes that a subject is in quarantine.
    *
-   * @param trialDelay time until the part is tried again
+   * @param trialDelay time until the subject is tried again
    * @param lifetime time after which the entry expires
    */
-  CompletableFuture<Void> quarantine(String part, Duration trialDelay, Duration lifetime);
+  CompletableFuture<Void> quarantine(String subject, Duration trialDelay, Duration lifetime);
 
-  /** Removes a prompt part from quarantine. */
-  CompletableFuture<Void> release(String part);
+  /** Removes a subject from quarantine. */
+  CompletableFuture<Void> release(String subject);
 
   /** Marks the history of the store with an era as settled. */
   CompletableFuture<Void> markSettled(long era);
--- a/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
@@ -109,21 +109,21 @@
 
   private boolean confirmingFreshness;
 
-  /** Receives the entries of the store about prompt parts in quarantine. */
+  /** Receives the entries of the store about subjects in quarantine. */
   interface QuarantineListener {
-    /** Called when a part is listed as quarantined, or its entry has changed. */
-    default void onQuarantined(String part, Duration trialDelay) {}
+    /** Called when a subject is listed as quarantined, or its entry has changed. */
+    default void onQuarantined(String subject, Duration trialDelay) {}
 
-    /** Called when the entry of a part was removed. */
-    default void onReleased(String part) {}
+    /** Called when the entry of a subject was removed. */
+    default void onReleased(String subject) {}
 
     /**
      * Called when everything was read again.
      *
-     * @param trialDelaysByPart times until the trials of all listed parts
+     * @param trialDelaysBySubject times until the trials of all listed subjects
      * @param restored whether the store has come back with an older copy of its content
      */
-    default void onSnapshot(Map<String, Duration> trialDelaysByPart, boolean restored) {}
+    default void onSnapshot(Map<String, Duration> trialDelaysBySubject, boolean restored) {}
   }
 
   private ControlPlane(
@@ -180,7 +180,7 @@
     changeListeners.add(task);
   }
 
-  /** Sets the receiver of the entries about prompt parts in quarantine. */
+  /** Sets the receiver of the entries about subjects in quarantine. */
   void quarantineListener(QuarantineListener listener) {
     quarantineListener = listener;
   }
@@ -455,13 +455,13 @@
     restoredUnread = false;
     List<UpstreamEntry> upstreams = new ArrayList<>();
     Set<String> listedNames = new HashSet<>();
-    Map<String, Duration> trialDelaysByPart = new HashMap<>();
+    Map<String, Duration> trialDelaysBySubject = new HashMap<>();
     long ownLeaseId = 0;
     for (Update update : batch.updates()) {
       if (update instanceof Update.UpstreamListed listed) {
         upstreams.add(listed.entry());
-      } else if (update instanceof Update.PartQuarantined listed) {
-        trialDelaysByPart.put(listed.part(), listed.trialDelay());
+      } else if (update instanceof Update.SubjectQuarantined listed) {
+        trialDelaysBySubject.put(listed.subject(), listed.trialDelay());
       } else if (update instanceof Update.Configured configured && restored) {
         applyRestoredConfig(configured);
       } else {
@@ -480,7 +480,7 @@
     peersByName
         .keySet()
         .removeIf(name -> !listedNames.contains(name) && !unconfirmedPeers.contains(name));
-    quarantineListener.onSnapshot(trialDelaysByPart, restored);
+    quarantineListener.onSnapshot(trialDelaysBySubject, restored);
   }
 
   /**
@@ -529,10 +529,10 @@
       }
     } else if (update instanceof Update.PeerUnlisted unlisted) {
       peersByName.remove(unlisted.name());
-    } else if (update instanceof Update.PartQuarantined quarantined) {
-      quarantineListener.onQuarantined(quarantined.part(), quarantined.trialDelay());
-    } else if (update instanceof Update.PartReleased released) {
-      quarantineListener.onReleased(released.part());
+    } else if (update instanceof Update.SubjectQuarantined quarantined) {
+      quarantineListener.onQuarantined(quarantined.subject(), quarantined.trialDelay());
+    } else if (update instanceof Update.SubjectReleased released) {
+      quarantineListener.onReleased(released.subject());
     } else if (update instanceof Update.HistorySettled settled) {
       markedEra = settled.era();
       history.confirm(settled.era());
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -98,7 +98,7 @@
             loop, control, stageCoordinator, settings.value(GatewaySettings.PEER_ADDRESS), log);
     ObservationExchange exchange = new ObservationExchange(loop, mesh, self.name());
     mesh.observationListener(exchange);
-    PromptGuard promptGuard = new PromptGuard(loop, control, feed, client, exchange, log);
+    CrashGuard crashGuard = new CrashGuard(loop, control, feed, client, exchange, log);
     GatewayComponents components =
         new GatewayComponents(
             loop,
@@ -117,7 +117,7 @@
                 settings.value(GatewaySettings.RETRY_SLACK),
                 Duration.ofSeconds(settings.value(GatewaySettings.RETRY_WINDOW)),
                 () -> control.peers().size() + 1),
-            promptGuard,
+            crashGuard,
             new UpstreamLimits(loop, control, mesh, regions, exchange, log),
             settings.value(GatewaySettings.MAX_ANSWER_BYTES),
             metrics,
@@ -132,7 +132,7 @@
             () -> {
               metrics.setInFlight(intake.inFlight());
               metrics.setViewAge(control.ageMillis() / 1000.0);
-              metrics.setQuarantined(promptGuard.quarantinedCount());
+              metrics.setQuarantined(crashGuard.quarantinedCount());
             });
     EventLoop.Listener operatorListener =
         listenHttp(settings.value(GatewaySettings.OPERATOR_ADDRESS), operatorsHandler);
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayComponents.java
@@ -25,7 +25,7 @@
  * @param forecastBias observed error of the expected times, by route
  * @param callerPatience estimates how long callers have waited in earlier attempts
  * @param retryBudget limit on retries, shared by all gateways
- * @param promptGuard quarantine of prompt parts that crash engines
+ * @param crashGuard quarantine of prompt parts that crash engines
  * @param upstreamLimits limits that upstreams name in their answers
  * @param maxAnswerBytes largest accepted body of an upstream's answer, and largest event of a
  *     stream, in bytes
@@ -45,7 +45,7 @@
     ForecastBias forecastBias,
     CallerPatience callerPatience,
     SharedRetryBudget retryBudget,
-    PromptGuard promptGuard,
+    CrashGuard crashGuard,
     UpstreamLimits upstreamLimits,
     int maxAnswerBytes,
     GatewayMetrics metrics,
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -48,16 +48,20 @@
       8042,
       Level.WARNING,
       "Another gateway handed over a stage of a service that is unknown here; its request fails."),
-  ENGINE_CRASHED(
+  UPSTREAM_CRASHED(
       8050,
       Level.WARNING,
-      "An engine closed connections before its answers were whole and accepts no new ones; the"
+      "An upstream closed connections before its answers were whole and accepts no new ones; the"
           + " fields list the requests of this gateway there."),
-  PROMPT_QUARANTINED(
+  SUBJECT_QUARANTINED(
       8051,
       Level.WARNING,
-      "Requests with a prompt part crashed several engines; such requests are refused."),
-  PROMPT_RELEASED(8052, Level.INFO, "Requests with a prompt part are accepted again."),
+      "Requests with a prompt part, or one repeated request, crashed several upstreams; such"
+          + " requests are refused."),
+  SUBJECT_RELEASED(
+      8052,
+      Level.INFO,
+      "Requests with a prompt part, or one repeated request, are accepted again."),
   UPSTREAM_LIMITED(
       8053,
       Level.INFO,
--- a/gateway/src/main/java/org/oriolewell/gateway/ObservationExchange.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ObservationExchange.java
@@ -11,9 +11,9 @@
 import org.oriolewell.runtime.wire.Message;
 
 /**
- * Tells the other gateways what this one has observed about upstreams and prompt parts, and passes
- * on what they have observed. An observation is sent when it is made, and once more to each gateway
- * that connects while it is recent. It may be lost, or arrive repeatedly or late.
+ * Tells the other gateways what this one has observed about upstreams and about what crashes them,
+ * and passes on what they have observed. An observation is sent when it is made, and once more to
+ * each gateway that connects while it is recent. It may be lost, or arrive repeatedly or late.
  *
  * <p>Used on the event loop only.
  */
@@ -26,12 +26,12 @@
 
   /** What an observation is about. The order is part of the protocol. */
   enum Kind {
-    /** The subject, one start of an engine, crashed; the details list the requests there. */
-    ENGINE_CRASHED,
-    /** A prompt with the subject, a part, was answered soundly. */
-    PART_ANSWERED,
-    /** The subject, a part, is in quarantine; the value is the time until a trial in ms. */
-    PART_QUARANTINED,
+    /** The subject, one start of an upstream, crashed; the details list the requests there. */
+    UPSTREAM_CRASHED,
+    /** A request with the subject was answered soundly. */
+    SUBJECT_ANSWERED,
+    /** The subject is in quarantine; the value is the time until a trial in ms. */
+    SUBJECT_QUARANTINED,
     /**
      * The subject, one start of an upstream, has named the value as its limit in requests a second,
      * or none if the value is negative.
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -7,7 +7,8 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.overload.StageAdmission.Decision;
-import org.oriolewell.core.quarantine.PromptQuarantine;
+import org.oriolewell.core.quarantine.CrashQuarantine;
+import org.oriolewell.core.quarantine.CrashSubject;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.RequestKind;
 import org.oriolewell.core.route.Route;
@@ -24,7 +25,7 @@
  * Processes one caller's request until its final answer: admission, stages, attempts at upstreams,
  * retries. Used on the event loop only.
  */
-final class RequestFlow implements UpstreamAttempt.Listener, PromptGuard.PendingRequest {
+final class RequestFlow implements UpstreamAttempt.Listener, CrashGuard.PendingRequest {
   /** Number of route priorities that rank between two workspace priorities. */
   private static final int RANKS_PER_WORKSPACE_PRIORITY = 16;
 
@@ -66,6 +67,7 @@
   private int rank;
   private final String serviceName;
   private final UpstreamChoice upstreamChoice;
+  private final CrashSubjects crashSubjects;
 
   private String region;
   private @Nullable StageRun stageRun;
@@ -82,8 +84,8 @@
   /** Whether the retry budget has granted the next attempt already. */
   private boolean retryGranted;
 
-  /** Quarantined prompt part whose trial this request is; null if it is none. */
-  private @Nullable String trialPart;
+  /** Quarantined subject whose trial this request is; null if it is none. */
+  private @Nullable String trialSubject;
 
   private boolean requestEnded;
   private final List<EventLoop.Timer> timers = new ArrayList<>();
@@ -121,6 +123,12 @@
             + Math.min(route.priority(), RANKS_PER_WORKSPACE_PRIORITY - 1);
     this.serviceName = route.serviceFor(requestId().hashCode());
     this.region = components.control().self().region();
+    this.crashSubjects =
+        new CrashSubjects(
+            exchange.request(),
+            intent.host(),
+            workspace == null ? "" : workspace.name(),
+            intent.sharedPromptParts());
     this.upstreamChoice =
         new UpstreamChoice(
             components,
@@ -137,7 +145,7 @@
   /** Starts processing: admission and stages if the request has pieces, else an upstream call. */
   void start() {
     exchange.onCallerGone(this::onCallerLeft);
-    components.promptGuard().requestStarted(this);
+    components.crashGuard().requestStarted(this);
     Duration untilDeadline = Duration.ofNanos(deadline - components.loop().now());
     timers.add(components.loop().after(untilDeadline, this::onTimeout));
     if (heldBack()) {
@@ -151,45 +159,48 @@
     }
   }
 
-  /** Refuses the request if a part of its prompt is quarantined; returns whether it did. */
+  /** Refuses the request if it is quarantined, or a part of its prompt; returns whether it did. */
   private boolean heldBack() {
-    PromptQuarantine.Decision decision =
-        components.promptGuard().decide(intent.sharedPromptParts());
-    if (decision instanceof PromptQuarantine.Decision.HoldBack holdBack) {
-      refuseQuarantined(holdBack.part(), holdBack.retryAfter());
+    CrashQuarantine.Decision decision = components.crashGuard().decide(crashSubjects);
+    if (decision instanceof CrashQuarantine.Decision.HoldBack holdBack) {
+      refuseQuarantined(holdBack.subject(), holdBack.retryAfter());
       return true;
     }
-    if (decision instanceof PromptQuarantine.Decision.Trial trial) {
-      trialPart = trial.part();
+    if (decision instanceof CrashQuarantine.Decision.Trial trial) {
+      trialSubject = trial.subject();
     }
     return false;
   }
 
-  private void refuseQuarantined(String part, Duration retryAfter) {
-    String reason = "prompt part " + part + " crashes engines";
+  private void refuseQuarantined(String subject, Duration retryAfter) {
+    String reason = crashReason(subject);
     if (mayHaveExecuted) {
       fail(reason, 502);
     } else {
-      refuse(reason, "prompt part quarantined", retryAfter);
+      refuse(reason, "quarantined", retryAfter);
     }
   }
 
+  private static String crashReason(String subject) {
+    return CrashSubject.describe(subject) + " crashes upstreams";
+  }
+
   @Override
-  public List<String> sharedPromptParts() {
-    return intent.sharedPromptParts();
+  public CrashSubjects subjects() {
+    return crashSubjects;
   }
 
   @Override
-  public void onQuarantined(String part) {
+  public void onQuarantined(String subject) {
     UpstreamAttempt currentAttempt = attempt;
     boolean waiting = currentAttempt == null || !currentAttempt.mayHaveBeenSent();
-    if (requestEnded || part.equals(trialPart)) {
+    if (requestEnded || subject.equals(trialSubject)) {
       return;
     }
     if (waiting) {
       heldBack();
     } else if (firstByteMillis < 0) {
-      fail("prompt part " + part + " crashes engines", 502);
+      fail(crashReason(subject), 502);
     }
   }
 
@@ -269,7 +280,7 @@
   }
 
   private @Nullable String promptPartsForLog() {
-    List<String> parts = intent.sharedPromptParts();
+    List<String> parts = crashSubjects.promptParts();
     return parts.isEmpty() ? null : String.join(",", parts);
   }
 
@@ -281,7 +292,7 @@
       refuse("keys not confirmed before the call", "keys not confirmed", NO_UPSTREAM_RETRY_AFTER);
       return;
     }
-    if (trialPart == null && heldBack()) {
+    if (trialSubject == null && heldBack()) {
       return;
     }
     Optional<UpstreamInstance> chosenUpstream = upstreamChoice.next(region, rank);
@@ -307,7 +318,7 @@
               if (!granted) {
                 upstreamChoice.permitRefused(upstream);
                 callUpstream(lastEventId);
-              } else if (trialPart != null || !heldBack()) {
+              } else if (trialSubject != null || !heldBack()) {
                 sendTo(upstream, lastEventId);
               }
             });
@@ -381,13 +392,7 @@
             intent.attemptId());
     UpstreamAttempt newAttempt =
         new UpstreamAttempt(
-            components,
-            route,
-            requestId(),
-            intent.sharedPromptParts(),
-            upstream,
-            answerStream,
-            this);
+            components, route, requestId(), crashSubjects, upstream, answerStream, this);
     attempt = newAttempt;
     attemptStartedAt = now;
     newAttempt.start(request, inactivityTimeout());
@@ -499,14 +504,12 @@
   @Override
   public void onIncomplete(UpstreamInstance upstream, String reason) {
     mayHaveExecuted = true;
-    String part = trialPart;
-    if (part != null) {
-      components.promptGuard().trialFailed(part);
+    String subject = trialSubject;
+    if (subject != null) {
+      components.crashGuard().trialFailed(subject);
     }
     boolean repeatable =
-        route.repeatable()
-            && part == null
-            && components.promptGuard().mayRepeat(intent.sharedPromptParts());
+        route.repeatable() && subject == null && components.crashGuard().mayRepeat(crashSubjects);
     if (repeatable && attemptCount < route.maxAttempts() && mayRetry()) {
       callUpstream(lastForwardedEventId());
     } else {
@@ -613,7 +616,7 @@
 
   private void finish(String outcome) {
     requestEnded = true;
-    components.promptGuard().requestEnded(this);
+    components.crashGuard().requestEnded(this);
     timers.forEach(EventLoop.Timer::cancel);
     UpstreamAttempt currentAttempt = attempt;
     if (currentAttempt != null) {
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -1,7 +1,6 @@
 package org.oriolewell.gateway;
 
 import java.time.Duration;
-import java.util.List;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.jspecify.annotations.Nullable;
@@ -83,7 +82,7 @@
   private final GatewayComponents components;
   private final Route route;
   private final String requestId;
-  private final List<String> promptParts;
+  private final CrashSubjects subjects;
   private final UpstreamInstance upstream;
   private final Listener listener;
   private final EventSplitter eventSplitter = EventSplitter.create();
@@ -109,21 +108,21 @@
   /**
    * Creates an attempt that has not been sent.
    *
-   * @param promptParts ids of the prompt's parts that other requests may share
+   * @param subjects what the request has in common with others
    * @param answerStream stream to the caller that this attempt resumes; null if none was started
    */
   UpstreamAttempt(
       GatewayComponents components,
       Route route,
       String requestId,
-      List<String> promptParts,
+      CrashSubjects subjects,
       UpstreamInstance upstream,
       @Nullable AnswerStream answerStream,
       Listener listener) {
     this.components = components;
     this.route = route;
     this.requestId = requestId;
-    this.promptParts = promptParts;
+    this.subjects = subjects;
     this.upstream = upstream;
     this.answerStream = answerStream;
     this.listener = listener;
@@ -254,7 +253,7 @@
 
   private void forwardEvent(EventSplitter.Event event) {
     AnswerStream currentStream = findOrStartStream();
-    if (!soundReported && writingMillis() >= PromptGuard.SOUND_WRITING_TIME.toMillis()) {
+    if (!soundReported && writingMillis() >= CrashGuard.SOUND_WRITING_TIME.toMillis()) {
       reportSound();
     }
     listener.onStreamContent(event.bytes());
@@ -278,12 +277,12 @@
 
   private void reportSound() {
     soundReported = true;
-    components.promptGuard().answered(promptParts);
+    components.crashGuard().answered(subjects);
   }
 
   private void reportConnectionLost() {
     if (!soundReported) {
-      components.promptGuard().connectionLost(upstream, requestId, promptParts);
+      components.crashGuard().connectionLost(upstream, requestId, subjects);
     }
   }
 
@@ -292,7 +291,7 @@
     if (attemptEnded) {
       return;
     }
-    if (endsAtClose && !promptParts.isEmpty() && listed()) {
+    if (endsAtClose && !subjects.promptParts().isEmpty() && listed()) {
       // The end of such an answer looks the same as that of an engine that crashes.
       stopInactivityTimer();
       components
