--- a/proofs/src/test/java/org/oriolewell/proofs/SpecificationTest.java
+++ b/proofs/src/test/java/org/oriolewell/proofs/SpecificationTest.java
@@ -79,8 +79,15 @@
           List.of("EngineChecks"),
           List.of("NoStaleEffect"));
 
+  private static final Specification RESTORED_STORE =
+      new Specification(
+          "RestoredStore",
+          Map.of("Gateways", "{g1, g2}", "MaxVersion", "2", "MaxWrites", "4", "MaxEra", "3"),
+          List.of("CompareEra", "AwaitSettled", "OnlyNewer"),
+          List.of("NoChangeIsMissed", "ConfirmedIsNewest", "GatewaysNeverRevert"));
+
   private static final List<Specification> ALL =
-      List.of(CALLS, RESULTS, CONFIGURATION, DRAIN, ORDERS);
+      List.of(CALLS, RESULTS, CONFIGURATION, DRAIN, ORDERS, RESTORED_STORE);
 
   static Stream<Specification> specifications() {
     return ALL.stream();
