Don't take the prompt parts that a repeated request shares for the cause

Three separate crashes under one request now quarantine the request before any part is considered; against a part, the crashes under one repeated request count as one; and while such a request is suspected, a part needs a fourth crash. Subjects of recent crashes are the last that are dropped.

RepeatedRequestTest and CrashingPromptTest pass, only guilty subjects quarantined.

--- a/core/src/main/java/org/oriolewell/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/org/oriolewell/core/quarantine/CrashEvidence.java
@@ -1,7 +1,6 @@
 package org.oriolewell.core.quarantine;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -10,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The crashes of upstreams at which each subject was present, since the last sound answer to a
@@ -54,33 +54,6 @@
     private Suspect(String subject) {
       maxAgeNanos = (CrashSubject.isRequest(subject) ? REQUEST_MAX_AGE : PART_MAX_AGE).toNanos();
     }
-
-    private int episodes(long now) {
-      List<Long> times = new ArrayList<>();
-      crashTimeByUpstream.forEach(
-          (upstream, time) -> {
-            if (!explanationsByUpstream.containsKey(upstream) && now - time <= maxAgeNanos) {
-              times.add(time);
-            }
-          });
-      times.sort(Comparator.naturalOrder());
-      int episodes = 0;
-      long episodeStart = 0;
-      for (long time : times) {
-        if (episodes == 0 || time - episodeStart >= EPISODE_TIME.toNanos()) {
-          episodes++;
-          episodeStart = time;
-        }
-      }
-      return episodes;
-    }
-
-    private int unexplainedUpstreams() {
-      return (int)
-          crashTimeByUpstream.keySet().stream()
-              .filter(upstream -> !explanationsByUpstream.containsKey(upstream))
-              .count();
-    }
   }
 
   private final Map<String, Suspect> suspectsBySubject = new LinkedHashMap<>();
@@ -88,6 +61,9 @@
   /** Crashes that a quarantined subject explains; they count against no other subject. */
   private final Map<String, Explanation> explanationsByUpstream = new HashMap<>();
 
+  /** Requests that were sent again, among the suspects; null after a change of these. */
+  private @Nullable List<Suspect> repeatedRequests;
+
   boolean isEmpty() {
     return suspectsBySubject.isEmpty();
   }
@@ -102,6 +78,7 @@
 
   /** Records the crash of an upstream; another report of the same crash adds its victims. */
   void crashed(String upstream, Collection<CrashVictim> victims, long now) {
+    repeatedRequests = null;
     victims.stream().limit(MAX_VICTIMS).forEach(victim -> addVictim(upstream, victim, now));
     while (suspectsBySubject.size() > MAX_SUBJECTS) {
       suspectsBySubject.remove(suspectsBySubject.keySet().iterator().next());
@@ -109,15 +86,17 @@
   }
 
   private void addVictim(String upstream, CrashVictim victim, long now) {
-    victim.subjects().stream()
-        .limit(MAX_SUBJECTS_PER_REQUEST)
-        .map(subject -> suspectsBySubject.computeIfAbsent(subject, Suspect::new))
-        .filter(suspect -> suspect.crashTimeByUpstream.size() < MAX_ENTRIES_PER_SUBJECT)
-        .forEach(
-            suspect -> {
-              suspect.crashTimeByUpstream.putIfAbsent(upstream, now);
-              suspect.requestIds.add(victim.requestId());
-            });
+    List<String> subjects = victim.subjects().stream().limit(MAX_SUBJECTS_PER_REQUEST).toList();
+    for (String subject : subjects) {
+      Suspect suspect = suspectsBySubject.remove(subject);
+      suspect = suspect == null ? new Suspect(subject) : suspect;
+      // Subjects of recent crashes are the last that are dropped.
+      suspectsBySubject.put(subject, suspect);
+      if (suspect.crashTimeByUpstream.size() < MAX_ENTRIES_PER_SUBJECT) {
+        suspect.crashTimeByUpstream.putIfAbsent(upstream, now);
+        suspect.requestIds.add(victim.requestId());
+      }
+    }
   }
 
   /** Records that a quarantined subject explains the crash of an upstream. */
@@ -129,16 +108,18 @@
   }
 
   /**
-   * Records a sound answer to a prompt with a subject, which clears the subject: the crashes that
+   * Records a sound answer to a request with a subject, which clears the subject: the crashes that
    * it seemed to explain count against the other subjects again.
    */
   void cleared(String subject) {
+    repeatedRequests = null;
     suspectsBySubject.remove(subject);
     explanationsByUpstream.values().removeIf(explanation -> explanation.subject().equals(subject));
   }
 
   /** Removes a subject that is quarantined, which explains the crashes at which it was present. */
   void convicted(String subject, long now) {
+    repeatedRequests = null;
     Suspect suspect = suspectsBySubject.remove(subject);
     if (suspect != null) {
       suspect.crashTimeByUpstream.keySet().forEach(upstream -> explained(upstream, subject, now));
@@ -147,6 +128,7 @@
 
   /** Drops crashes that are too old to count. */
   void expire(long now) {
+    repeatedRequests = null;
     for (Suspect suspect : suspectsBySubject.values()) {
       suspect.crashTimeByUpstream.values().removeIf(time -> now - time > suspect.maxAgeNanos);
     }
@@ -156,7 +138,24 @@
   /** Returns the number of separate crashes that count against a subject. */
   int crashes(String subject, long now) {
     Suspect suspect = suspectsBySubject.get(subject);
-    return suspect == null ? 0 : suspect.episodes(now);
+    if (suspect == null) {
+      return 0;
+    }
+    List<Long> times =
+        countingUpstreams(subject).stream()
+            .map(suspect.crashTimeByUpstream::get)
+            .filter(time -> now - time <= suspect.maxAgeNanos)
+            .sorted()
+            .toList();
+    int episodes = 0;
+    long episodeStart = 0;
+    for (long time : times) {
+      if (episodes == 0 || time - episodeStart >= EPISODE_TIME.toNanos()) {
+        episodes++;
+        episodeStart = time;
+      }
+    }
+    return episodes;
   }
 
   /** Returns the number of different requests that count against a subject. */
@@ -165,10 +164,52 @@
     return suspect == null ? 0 : suspect.requestIds.size();
   }
 
-  /** Returns the number of upstreams that crashed while a subject was present. */
+  /** Returns the number of upstreams whose crashes count against a subject. */
   int upstreams(String subject) {
+    return countingUpstreams(subject).size();
+  }
+
+  /**
+   * Returns the upstreams whose crashes count against a subject: those that no quarantined subject
+   * explains. Against a prompt part, the crashes at which one repeated request was present count as
+   * one, since that request explains them as well.
+   */
+  private Set<String> countingUpstreams(String subject) {
     Suspect suspect = suspectsBySubject.get(subject);
-    return suspect == null ? 0 : suspect.unexplainedUpstreams();
+    if (suspect == null) {
+      return Set.of();
+    }
+    Set<String> upstreams = new LinkedHashSet<>(suspect.crashTimeByUpstream.keySet());
+    upstreams.removeAll(explanationsByUpstream.keySet());
+    if (!CrashSubject.isRequest(subject)) {
+      List<String> underOneRequest =
+          repeatedRequests().stream()
+              .map(request -> request.crashTimeByUpstream.keySet())
+              .map(keys -> keys.stream().filter(upstreams::contains).toList())
+              .max(Comparator.comparingInt(List::size))
+              .orElse(List.of());
+      underOneRequest.stream().skip(1).forEach(upstreams::remove);
+    }
+    return upstreams;
+  }
+
+  /** Returns whether one request that was sent again was present at several crashes. */
+  boolean hasRepeatedRequest() {
+    return repeatedRequests().stream().anyMatch(request -> request.crashTimeByUpstream.size() > 1);
+  }
+
+  private List<Suspect> repeatedRequests() {
+    List<Suspect> known = repeatedRequests;
+    if (known == null) {
+      known =
+          suspectsBySubject.entrySet().stream()
+              .filter(entry -> CrashSubject.isRequest(entry.getKey()))
+              .map(Map.Entry::getValue)
+              .filter(suspect -> suspect.requestIds.size() > 1)
+              .toList();
+      repeatedRequests = known;
+    }
+    return known;
   }
 
   /** Returns the subjects that at least the given number of different requests contained. */
--- a/core/src/main/java/org/oriolewell/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/oriolewell/core/quarantine/CrashQuarantine.java
@@ -118,20 +118,31 @@
     return culprits;
   }
 
+  /** Returns the subjects that the evidence points to: whole requests before prompt parts. */
+  private List<String> culprits(long now) {
+    List<String> suspects = evidence.subjectsWithRequests(MIN_REQUESTS);
+    List<String> requests =
+        suspects.stream()
+            .filter(CrashSubject::isRequest)
+            .filter(subject -> evidence.crashes(subject, now) >= CRASHES_FOR_QUARANTINE)
+            .toList();
+    return requests.isEmpty()
+        ? strongestParts(suspects.stream().filter(s -> !CrashSubject.isRequest(s)).toList(), now)
+        : requests;
+  }
+
   /**
-   * Returns the subjects that the evidence points to: those present at the crashes of the most
-   * upstreams and, among these, in the fewest requests. The subject at fault is present at each
-   * crash, mostly in one request; a popular subject is in several requests of each upstream. A
-   * whole request goes before the prompt parts that were present only in it, since others share
-   * them.
+   * Returns the prompt parts that were present at the crashes of the most upstreams and, among
+   * these, in the fewest requests. The part at fault is present at each crash, mostly in one
+   * request; a popular part is in several requests of each upstream.
    */
-  private List<String> culprits(long now) {
+  private List<String> strongestParts(List<String> parts, long now) {
     List<String> strongest = new ArrayList<>();
     int mostUpstreams = 0;
     int fewestRequests = 0;
-    for (String subject : evidence.subjectsWithRequests(MIN_REQUESTS)) {
-      int upstreams = evidence.upstreams(subject);
-      int requests = evidence.requests(subject);
+    for (String part : parts) {
+      int upstreams = evidence.upstreams(part);
+      int requests = evidence.requests(part);
       boolean equal = upstreams == mostUpstreams && requests == fewestRequests;
       if (upstreams > mostUpstreams || (upstreams == mostUpstreams && requests < fewestRequests)) {
         strongest.clear();
@@ -140,16 +151,16 @@
         equal = true;
       }
       if (equal) {
-        strongest.add(subject);
+        strongest.add(part);
       }
     }
-    if (strongest.stream().anyMatch(CrashSubject::isRequest)) {
-      strongest.removeIf(subject -> !CrashSubject.isRequest(subject));
-    }
-    int neededCrashes = strongest.size() == 1 ? CRASHES_FOR_QUARANTINE : CRASHES_FOR_TIED_SUBJECTS;
-    return strongest.stream()
-        .filter(subject -> evidence.crashes(subject, now) >= neededCrashes)
-        .toList();
+    int neededCrashes =
+        strongest.size() == 1 && !evidence.hasRepeatedRequest()
+            ? CRASHES_FOR_QUARANTINE
+            : CRASHES_FOR_TIED_SUBJECTS;
+    return mostUpstreams < neededCrashes
+        ? List.of()
+        : strongest.stream().filter(part -> evidence.crashes(part, now) >= neededCrashes).toList();
   }
 
   /**
