--- a/core/src/main/java/org/oriolewell/core/roster/StoreHistory.java
+++ b/core/src/main/java/org/oriolewell/core/roster/StoreHistory.java
@@ -59,7 +59,7 @@
     if (answeredEra < era) {
       return Change.OUTDATED;
     }
-    boolean first = era == 0;
+    final boolean first = era == 0;
     era = answeredEra;
     firstSeenAt = now;
     confirmed = false;
--- a/core/src/test/java/org/oriolewell/core/roster/RestoredRosterTest.java
+++ b/core/src/test/java/org/oriolewell/core/roster/RestoredRosterTest.java
@@ -86,7 +86,7 @@
   }
 
   @Test
-  void historyIsSettledAfterItsTimeOrByAMarkOfTheSameEra() {
+  void historyIsSettledAfterItsTimeOrByMarkOfTheSameEra() {
     assertThat(history.isSettled(0)).isTrue();
     history.observe(4, 0);
     assertThat(history.isSettled(SECOND)).isFalse();
--- a/gateway/src/main/java/org/oriolewell/gateway/CrashSubjects.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CrashSubjects.java
@@ -7,7 +7,7 @@
 
 /**
  * What one request has in common with others that may crash upstreams. The fingerprint is computed
- * at its first use: without suspicion against any subject, nobody asks for it.
+ * at its first use, which comes only while some subject is suspected.
  */
 final class CrashSubjects {
   private final CallerRequest request;
