--- a/proofs/src/test/java/org/oriolewell/proofs/ModelChecker.java
+++ b/proofs/src/test/java/org/oriolewell/proofs/ModelChecker.java
@@ -53,6 +53,8 @@
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx2g",
                 "-XX:+UseParallelGC",
+                // TLC unpacks its modules there; runs at the same time must not share them.
+                "-Djava.io.tmpdir=" + folder.toAbsolutePath(),
                 "-cp",
                 System.getProperty("java.class.path"),
                 "tlc2.TLC",
