--- a/core/src/test/java/org/oriolewell/core/quarantine/RepeatedRequestReplayTest.java
+++ b/core/src/test/java/org/oriolewell/core/quarantine/RepeatedRequestReplayTest.java
@@ -30,6 +30,7 @@
   @ParameterizedTest
   @Tag("known-red")
   @CsvSource({
+    "5, 3, 0.3, 8",
     "33, 40, 0.05, 100",
     "5, 3, 0.3, 103",
     "33, 40, 0.05, 104",
