Don't take an engine that pauses for a second for one that has stopped (LOST)

Callers saw: a stream that its engine would have finished was closed in the middle, when the engine had sent nothing for a second or so and the next engine refused the request.

Cause: the attempt of a resumable stream was replaced after half of the route's target and two event gaps (1.15 s for a target of 1.3 s). The operators state that a sound upstream may be silent for a second or so and go on.

--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -9,6 +9,7 @@
 import org.oriolewell.core.overload.StageAdmission.Decision;
 import org.oriolewell.core.quarantine.CrashQuarantine;
 import org.oriolewell.core.quarantine.CrashSubject;
+import org.oriolewell.core.retry.SilenceLimit;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.RequestKind;
 import org.oriolewell.core.route.Route;
@@ -395,20 +396,7 @@
             components, route, requestId(), crashSubjects, upstream, answerStream, this);
     attempt = newAttempt;
     attemptStartedAt = now;
-    newAttempt.start(request, inactivityTimeout());
-  }
-
-  /**
-   * Returns the time without data after which the request is sent to another upstream; null if it
-   * must not be repeated or no attempt is left.
-   */
-  private @Nullable Duration inactivityTimeout() {
-    if (!route.repeatable() || attemptCount >= route.maxAttempts()) {
-      return null;
-    }
-    return route.kind() == RequestKind.IDEMPOTENT
-        ? route.latencyTarget()
-        : route.latencyTarget().dividedBy(2).plus(route.eventGapTarget().multipliedBy(2));
+    newAttempt.start(request, SilenceLimit.of(route, attemptCount).orElse(null));
   }
 
   @Override
