Close a stream that another answer follows instead of leaving it open

Callers of a resumable stream that had begun and broke off waited for ever if the next upstream answered with an error, or with a 200 that was no event stream: the request counted as answered, its timers were canceled, and the exchange ignored the answer, since a stream had begun.

Such an answer now fails the attempt. Another one follows where the route and the retry budget allow it; else the connection is closed without the last chunk.

--- a/gateway/src/main/java/org/oriolewell/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerExchange.java
@@ -7,14 +7,16 @@
 
 /**
  * One request of a caller and its answer. The answer is either sent at once or as a chunked stream,
- * whose last chunk is only written by {@link #endStream()}. Used on the event loop only.
+ * whose last chunk is only written by {@link #endStream()}. Output to a caller that has
+ * disconnected is discarded. Used on the event loop only.
  */
 final class CallerExchange {
   /** Progress of the answer. */
   private enum State {
     OPEN,
     STREAMING,
-    ENDED
+    ENDED,
+    CALLER_GONE
   }
 
   private final CallerConnection connection;
@@ -56,7 +58,7 @@
    * an event loop that is behind has not yet been told of the disconnection.
    */
   boolean detectCallerGone() {
-    if (state != State.ENDED) {
+    if (!ended()) {
       connection.readArrivedInput();
     }
     return ended();
@@ -64,7 +66,14 @@
 
   /** Returns whether the answer is complete or was aborted, or the caller has disconnected. */
   boolean ended() {
-    return state == State.ENDED;
+    return state == State.ENDED || state == State.CALLER_GONE;
+  }
+
+  private boolean callerGone(String call, State expectedState) {
+    if (state != expectedState && state != State.CALLER_GONE) {
+      throw new AnswerStateException(call, state.name());
+    }
+    return state == State.CALLER_GONE;
   }
 
   /** Returns whether the head of a streamed answer was sent and its end was not. */
@@ -72,9 +81,13 @@
     return state == State.STREAMING;
   }
 
-  /** Sends a complete answer; ignored if an answer was started. */
+  /**
+   * Sends a complete answer.
+   *
+   * @throws AnswerStateException if an answer was started
+   */
   void reply(int status, HttpFields headers, byte[] body) {
-    if (state != State.OPEN) {
+    if (callerGone("reply", State.OPEN)) {
       return;
     }
     state = State.ENDED;
@@ -91,9 +104,13 @@
     connection.exchangeEnded(keepOpen);
   }
 
-  /** Sends the head of a chunked answer; ignored if an answer was started. */
+  /**
+   * Sends the head of a chunked answer.
+   *
+   * @throws AnswerStateException if an answer was started
+   */
   void startStream(int status, HttpFields headers) {
-    if (state != State.OPEN) {
+    if (callerGone("startStream", State.OPEN)) {
       return;
     }
     state = State.STREAMING;
@@ -105,25 +122,35 @@
     connection.write(HttpText.responseHead(status, answerHeaders));
   }
 
-  /** Sends a part of a streamed answer as one chunk. */
+  /**
+   * Sends a part of a streamed answer as one chunk.
+   *
+   * @throws AnswerStateException if no stream was started, or it has ended
+   */
   void writeStream(byte[] content) {
-    if (state == State.STREAMING && content.length > 0) {
+    if (!callerGone("writeStream", State.STREAMING) && content.length > 0) {
       connection.write(HttpText.chunk(content));
     }
   }
 
-  /** Sends the last chunk of a streamed answer and ends the exchange. */
+  /**
+   * Sends the last chunk of a streamed answer and ends the exchange.
+   *
+   * @throws AnswerStateException if no stream was started, or it has ended
+   */
   void endStream() {
-    if (state == State.STREAMING) {
+    if (!callerGone("endStream", State.STREAMING)) {
       state = State.ENDED;
       connection.write(HttpText.lastChunk());
       connection.exchangeEnded(!closeAfterAnswer && !connection.stopping());
     }
   }
 
-  /** Closes the connection without completing the answer. */
+  /**
+   * Closes the connection without completing the answer; does nothing if the exchange has ended.
+   */
   void abort() {
-    if (state != State.ENDED) {
+    if (!ended()) {
       state = State.ENDED;
       connection.close();
     }
@@ -131,8 +158,8 @@
 
   /** Ends the exchange after the caller has disconnected. */
   void onCallerLeft() {
-    if (state != State.ENDED) {
-      state = State.ENDED;
+    if (!ended()) {
+      state = State.CALLER_GONE;
       Runnable task = onCallerGone;
       if (task != null) {
         task.run();
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -42,6 +42,11 @@
   ANSWERED(8036, Level.INFO, "The whole answer was handed to the caller."),
   FAILED(8037, Level.INFO, "A request ended without a whole answer; it may have run."),
   CALLER_GONE(8038, Level.INFO, "The caller left; what was in progress for it was stopped."),
+  ANSWER_MISPLACED(
+      8039,
+      Level.SEVERE,
+      "A part of an answer did not fit what was sent before; the caller's connection was closed."
+          + " This is a fault of the gateway."),
   STAGE_CALL(8040, Level.INFO, "A dispatcher sent a call with pieces to an upstream."),
   STAGE_CALL_ENDED(8041, Level.INFO, "A call with pieces was answered, or has failed."),
   STAGE_REFUSED(
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -453,15 +453,14 @@
   @Override
   public void onStreamComplete() {
     logRequestEnd(GatewayEvent.ANSWERED, "stream complete", 200);
-    finish("answered");
-    exchange.endStream();
+    finish("answered", exchange::endStream);
   }
 
   @Override
   public void onAnswer(int status, HttpFields headers, byte[] body) {
     logRequestEnd(GatewayEvent.ANSWERED, "whole answer", status);
-    finish(status < 400 ? "answered" : "upstream_error");
-    exchange.reply(status, headers, body);
+    finish(
+        status < 400 ? "answered" : "upstream_error", () -> exchange.reply(status, headers, body));
   }
 
   @Override
@@ -562,9 +561,7 @@
         .with("retry_after_ms", retryAfter == null ? null : retryAfter.toMillis())
         .write();
     components.metrics().requestRefused(metricReason);
-    finish("refused");
-    exchange.reply(
-        503, components.dialect().gatewayAnswerHeaders(intent.attemptId(), retryAfter), EMPTY_BODY);
+    finish("refused", () -> replyWithoutBody(503, retryAfter));
   }
 
   private void fail(String reason, int status) {
@@ -572,15 +569,20 @@
       return;
     }
     logRequestEnd(GatewayEvent.FAILED, reason, status);
-    finish("failed");
     if (exchange.streaming()) {
-      exchange.abort();
+      finish("failed", exchange::abort);
     } else {
-      exchange.reply(
-          status, components.dialect().gatewayAnswerHeaders(intent.attemptId(), null), EMPTY_BODY);
+      finish("failed", () -> replyWithoutBody(status, null));
     }
   }
 
+  private void replyWithoutBody(int status, @Nullable Duration retryAfter) {
+    exchange.reply(
+        status,
+        components.dialect().gatewayAnswerHeaders(intent.attemptId(), retryAfter),
+        EMPTY_BODY);
+  }
+
   private void logRequestEnd(GatewayEvent event, String reason, int status) {
     components
         .log()
@@ -598,11 +600,12 @@
   private void onCallerLeft() {
     if (!requestEnded) {
       logRequestEnd(GatewayEvent.CALLER_GONE, "the caller closed its connection", 0);
-      finish("caller_gone");
+      finish("caller_gone", () -> {});
     }
   }
 
-  private void finish(String outcome) {
+  /** Releases everything that the request holds, and ends its exchange. */
+  private void finish(String outcome, Runnable endExchange) {
     requestEnded = true;
     components.crashGuard().requestEnded(this);
     timers.forEach(EventLoop.Timer::cancel);
@@ -613,6 +616,19 @@
     cancelStages();
     components.metrics().requestEnded(route.name(), outcome);
     onEnd.run();
+    try {
+      endExchange.run();
+    } catch (AnswerStateException e) {
+      components
+          .log()
+          .event(GatewayEvent.ANSWER_MISPLACED)
+          .with("request", requestId())
+          .with("route", route.name())
+          .cause(e)
+          .write();
+    } finally {
+      exchange.abort();
+    }
   }
 
   private void cancelStages() {
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -240,6 +240,9 @@
       return;
     }
     for (EventSplitter.Event event : eventSplitter.add(content)) {
+      if (attemptEnded) {
+        return;
+      }
       restartInactivityTimer();
       forwardEvent(event);
     }
@@ -342,6 +345,8 @@
       endNotExecuted();
     } else if (!answerProperties.authentic()) {
       endIncomplete("status " + status + " without the upstream's seal or the request's id");
+    } else if (answerStream != null) {
+      endIncomplete("status " + status + " instead of the rest of the stream");
     } else {
       endAnswered();
     }
