--- a/gateway/src/main/java/org/oriolewell/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerExchange.java
@@ -24,6 +24,7 @@
   private final boolean closeAfterAnswer;
   private State state = State.OPEN;
   private @Nullable Runnable onCallerGone;
+  private Runnable onEnd = () -> {};
 
   private CallerExchange(
       CallerConnection connection, CallerRequest request, boolean closeAfterAnswer) {
@@ -52,6 +53,22 @@
     onCallerGone = task;
   }
 
+  /**
+   * Sets a task that runs once when the exchange ends, in whatever way; at once if it has ended.
+   */
+  void onEnd(Runnable task) {
+    if (ended()) {
+      task.run();
+    } else {
+      onEnd = task;
+    }
+  }
+
+  private void end(State endState) {
+    state = endState;
+    onEnd.run();
+  }
+
   /**
    * Reads what has arrived from the caller and returns whether the exchange has ended, by the
    * caller's disconnection or by its answer. Checked before work is started for the caller, because
@@ -90,7 +107,7 @@
     if (callerGone("reply", State.OPEN)) {
       return;
     }
-    state = State.ENDED;
+    end(State.ENDED);
     boolean keepOpen = !closeAfterAnswer && !connection.stopping();
     HttpFields.Mutable answerHeaders = HttpFields.build(headers);
     answerHeaders.put(HttpHeader.CONTENT_LENGTH, Integer.toString(body.length));
@@ -140,7 +157,7 @@
    */
   void endStream() {
     if (!callerGone("endStream", State.STREAMING)) {
-      state = State.ENDED;
+      end(State.ENDED);
       connection.write(HttpText.lastChunk());
       connection.exchangeEnded(!closeAfterAnswer && !connection.stopping());
     }
@@ -151,7 +168,7 @@
    */
   void abort() {
     if (!ended()) {
-      state = State.ENDED;
+      end(State.ENDED);
       connection.close();
     }
   }
@@ -159,7 +176,7 @@
   /** Ends the exchange after the caller has disconnected. */
   void onCallerLeft() {
     if (!ended()) {
-      state = State.CALLER_GONE;
+      end(State.CALLER_GONE);
       Runnable task = onCallerGone;
       if (task != null) {
         task.run();
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -131,6 +131,7 @@
             registry,
             () -> {
               metrics.setInFlight(intake.inFlight());
+              metrics.setOpenExchanges(intake.openExchanges());
               metrics.setViewAge(control.ageMillis() / 1000.0);
               metrics.setQuarantined(crashGuard.quarantinedCount());
             });
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
@@ -17,6 +17,7 @@
   private final Counter retries;
   private final Histogram firstByteSeconds;
   private final Gauge inFlight;
+  private final Gauge openExchanges;
   private final Gauge viewAge;
   private final Gauge quarantinedParts;
 
@@ -52,6 +53,11 @@
             .name("oriolewell_gateway_in_flight")
             .help("Requests in progress.")
             .register(registry);
+    openExchanges =
+        Gauge.builder()
+            .name("oriolewell_gateway_open_exchanges")
+            .help("Requests that were read whole and whose callers wait for the answer's end.")
+            .register(registry);
     viewAge =
         Gauge.builder()
             .name("oriolewell_gateway_view_age_seconds")
@@ -94,6 +100,11 @@
     inFlight.set(requestCount);
   }
 
+  /** Sets the number of requests that were read whole and whose answer has not ended. */
+  void setOpenExchanges(int exchangeCount) {
+    openExchanges.set(exchangeCount);
+  }
+
   /** Sets the number of prompt parts in quarantine. */
   void setQuarantined(int partCount) {
     quarantinedParts.set(partCount);
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestIntake.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestIntake.java
@@ -18,6 +18,7 @@
 
   private final GatewayComponents components;
   private int inFlight;
+  private int openExchanges;
 
   RequestIntake(GatewayComponents components) {
     this.components = components;
@@ -28,8 +29,15 @@
     return inFlight;
   }
 
+  /** Returns the number of requests, accepted or not, whose answer has not ended. */
+  int openExchanges() {
+    return openExchanges;
+  }
+
   /** Starts a caller's request, or refuses it with an HTTP status. */
   void accept(CallerExchange exchange) {
+    openExchanges++;
+    exchange.onEnd(() -> openExchanges--);
     CallerRequest request = exchange.request();
     Intent intent = components.dialect().decode(request.headers());
     if (exchange.detectCallerGone()) {
