Don't forward a stream that begins again instead of going on (ORDER)

Callers of a resumable stream got events twice if the upstream that should have continued it ignored Last-Event-Id, or repeated an event, and the stream looked complete if that upstream sent the end without an event. A stream whose last event had no id was continued after an earlier one.

EventSequence in core decides which event may follow: its id is higher than the last one forwarded, or than the Last-Event-Id of a caller that resumes by itself. Another event fails the attempt, as does an end without any event on a stream that has begun. A stream whose last event has no id isn't continued. A gap in the ids can't be recognized: they need not be consecutive.

--- a/gateway/src/main/java/org/oriolewell/gateway/AnswerStream.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/AnswerStream.java
@@ -1,46 +1,42 @@
 package org.oriolewell.gateway;
 
-import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.stream.EventSequence;
 
 /**
- * State of a server-sent event stream to a caller. The status and the headers are those of the
- * first upstream's answer; after a failure another upstream may continue the stream.
+ * State of a server-sent event stream to a caller, which one upstream may begin and others
+ * continue. Used on the event loop only.
  */
 final class AnswerStream {
-  private final int status;
-  private final HttpFields headers;
-  private @Nullable String lastEventId;
+  private final EventSequence events;
+  private boolean started;
 
-  private AnswerStream(int status, HttpFields headers) {
-    this.status = status;
-    this.headers = headers;
+  private AnswerStream(EventSequence events) {
+    this.events = events;
   }
 
-  /** Returns a stream of which no event was forwarded yet. */
-  static AnswerStream of(int status, HttpFields headers) {
-    return new AnswerStream(status, headers);
+  /**
+   * Returns a stream of which nothing was forwarded.
+   *
+   * @param lastEventId id of the last event that the caller has received before; null if there is
+   *     none
+   */
+  static AnswerStream after(@Nullable String lastEventId) {
+    return new AnswerStream(EventSequence.after(lastEventId));
   }
 
-  /** Returns the status of the first upstream's answer. */
-  int status() {
-    return status;
+  /** Returns whether the head was sent to the caller. */
+  boolean started() {
+    return started;
   }
 
-  /** Returns the end-to-end headers of the first upstream's answer. */
-  HttpFields headers() {
-    return headers;
+  /** Records that the head was sent to the caller. */
+  void markStarted() {
+    started = true;
   }
 
-  /** Returns the id of the last forwarded event that had one; null if there was none. */
-  @Nullable String lastEventId() {
-    return lastEventId;
-  }
-
-  /** Records that an event was forwarded; its id is null if it has none. */
-  void eventForwarded(@Nullable String id) {
-    if (id != null) {
-      lastEventId = id;
-    }
+  /** Returns the order of the stream's events. */
+  EventSequence events() {
+    return events;
   }
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -74,7 +74,7 @@
   private @Nullable StageRun stageRun;
   private List<String> inputHandles = List.of();
   private @Nullable UpstreamAttempt attempt;
-  private @Nullable AnswerStream answerStream;
+  private final AnswerStream answerStream;
   private int attemptCount;
   private int connectFailures;
   private double forecastMillis = -1;
@@ -124,6 +124,7 @@
             + Math.min(route.priority(), RANKS_PER_WORKSPACE_PRIORITY - 1);
     this.serviceName = route.serviceFor(requestId().hashCode());
     this.region = components.control().self().region();
+    this.answerStream = AnswerStream.after(route.repeatable() ? intent.lastEventId() : null);
     this.crashSubjects =
         new CrashSubjects(
             exchange.request(),
@@ -401,7 +402,7 @@
 
   @Override
   public boolean mayReplaceSilentAttempt() {
-    if (!upstreamChoice.anyUnlimited(region)) {
+    if (!upstreamChoice.anyUnlimited(region) || !answerStream.events().resumable()) {
       return false;
     }
     retryGranted = mayRetry();
@@ -438,11 +439,8 @@
   }
 
   @Override
-  public void onStream(AnswerStream newStream) {
-    if (answerStream == null) {
-      answerStream = newStream;
-      exchange.startStream(newStream.status(), newStream.headers());
-    }
+  public void onStreamStart(int status, HttpFields headers) {
+    exchange.startStream(status, headers);
   }
 
   @Override
@@ -496,7 +494,10 @@
       components.crashGuard().trialFailed(subject);
     }
     boolean repeatable =
-        route.repeatable() && subject == null && components.crashGuard().mayRepeat(crashSubjects);
+        route.repeatable()
+            && answerStream.events().resumable()
+            && subject == null
+            && components.crashGuard().mayRepeat(crashSubjects);
     if (repeatable && attemptCount < route.maxAttempts() && mayRetry()) {
       callUpstream(lastForwardedEventId());
     } else {
@@ -529,8 +530,7 @@
   }
 
   private @Nullable String lastForwardedEventId() {
-    AnswerStream currentStream = answerStream;
-    return currentStream == null ? null : currentStream.lastEventId();
+    return answerStream.started() ? answerStream.events().lastId() : null;
   }
 
   private void onTimeout() {
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -49,8 +49,8 @@
     /** Called when the first part of an answer can be passed on to the caller. */
     void onFirstByte();
 
-    /** Called once before the first event of a server-sent event stream. */
-    void onStream(AnswerStream answerStream);
+    /** Called before the first event of a stream that no earlier attempt has started. */
+    void onStreamStart(int status, HttpFields headers);
 
     /** Called for each complete event of a stream, with the bytes of the event. */
     void onStreamContent(byte[] content);
@@ -87,7 +87,7 @@
   private final Listener listener;
   private final EventSplitter eventSplitter = EventSplitter.create();
   private final AnswerBody body;
-  private @Nullable AnswerStream answerStream;
+  private final AnswerStream answerStream;
   private UpstreamClient.@Nullable Call call;
   private EventLoop.@Nullable Timer inactivityTimer;
   private @Nullable Duration inactivityTimeout;
@@ -109,7 +109,7 @@
    * Creates an attempt that has not been sent.
    *
    * @param subjects what the request has in common with others
-   * @param answerStream stream to the caller that this attempt resumes; null if none was started
+   * @param answerStream stream to the caller, which this attempt continues if it has started
    */
   UpstreamAttempt(
       GatewayComponents components,
@@ -117,7 +117,7 @@
       String requestId,
       CrashSubjects subjects,
       UpstreamInstance upstream,
-      @Nullable AnswerStream answerStream,
+      AnswerStream answerStream,
       Listener listener) {
     this.components = components;
     this.route = route;
@@ -255,27 +255,28 @@
   }
 
   private void forwardEvent(EventSplitter.Event event) {
-    AnswerStream currentStream = findOrStartStream();
+    if (!answerStream.events().accepts(event.id())) {
+      endIncomplete("event " + event.id() + " after event " + answerStream.events().lastId());
+      return;
+    }
+    startStream();
     if (!soundReported && writingMillis() >= CrashGuard.SOUND_WRITING_TIME.toMillis()) {
       reportSound();
     }
     listener.onStreamContent(event.bytes());
-    currentStream.eventForwarded(event.id());
+    answerStream.events().forwarded(event.id());
   }
 
-  private AnswerStream findOrStartStream() {
+  private void startStream() {
     if (!firstByteReported) {
       firstByteReported = true;
       firstByteAt = components.loop().now();
       listener.onFirstByte();
     }
-    AnswerStream currentStream = answerStream;
-    if (currentStream == null) {
-      currentStream = AnswerStream.of(status, EndToEndHeaders.of(headers));
-      answerStream = currentStream;
-      listener.onStream(currentStream);
+    if (!answerStream.started()) {
+      answerStream.markStarted();
+      listener.onStreamStart(status, EndToEndHeaders.of(headers));
     }
-    return currentStream;
   }
 
   private void reportSound() {
@@ -334,7 +335,12 @@
         endIncomplete("the stream ended before its first event");
         return;
       }
-      findOrStartStream();
+      if (answerStream.started() && !firstByteReported) {
+        // Without an event it can't be told whether the upstream has continued this stream.
+        endIncomplete("the rest of the stream has no event");
+        return;
+      }
+      startStream();
       finish();
       reportSound();
       components.health().succeeded(upstream.id(), components.loop().now());
@@ -345,7 +351,7 @@
       endNotExecuted();
     } else if (!answerProperties.authentic()) {
       endIncomplete("status " + status + " without the upstream's seal or the request's id");
-    } else if (answerStream != null) {
+    } else if (answerStream.started()) {
       endIncomplete("status " + status + " instead of the rest of the stream");
     } else {
       endAnswered();
