Believe a refusal only if it carries the attempt's id (REFUSED, TWICE)

Callers were told 'not executed, try again' (503) for requests that had run, and a request that may not run twice ran at a second upstream, if a faulty upstream wrote an earlier refusal once more on a kept connection and that refusal had no id. Only an answer with another id was skipped.

'Not executed' and 421 are now believed only with this attempt's id; else the outcome is unknown (502, no repetition of what may not run twice). An attempt whose id a connection has carried among its last 64 requests, or that has no id, goes over another connection, so that the answer to an earlier request can't be taken for its own.

--- a/gateway/src/main/java/org/oriolewell/gateway/RequestDialect.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestDialect.java
@@ -53,11 +53,14 @@
       int rank) {}
 
   /**
-   * Properties of an upstream's answer that its status and headers state.
+   * Properties of an upstream's answer that its status and headers state. An answer without the
+   * attempt's identifier may belong to an earlier request of the connection, so it proves nothing.
    *
    * @param authentic whether it carries the attempt's identifier and an upstream's seal header
-   * @param notExecuted whether the upstream states that it did not and will not execute the request
-   * @param misdirected whether the address now belongs to another upstream
+   * @param notExecuted whether it carries the attempt's identifier and states that the upstream did
+   *     not and will not execute the request
+   * @param misdirected whether it carries the attempt's identifier and states that the address now
+   *     belongs to another upstream
    * @param limitPerSecond requests a second that the upstream takes from all gateways together;
    *     empty if it names no limit
    */
@@ -74,7 +77,12 @@
   /** Returns the headers of a request to an upstream, without Content-Length. */
   HttpFields upstreamHeaders(HttpFields callerHeaders, Additions additions);
 
-  /** Checks the status and the headers of the answer to an attempt. */
+  /**
+   * Checks the status and the headers of the answer to an attempt.
+   *
+   * @param attemptId identifier of the attempt; null or empty if it has none, which accepts the
+   *     first answer of a connection
+   */
   AnswerProperties checkAnswer(@Nullable String attemptId, int status, HttpFields headers);
 
   /** Returns the headers of an answer that the gateway itself sends to a caller. */
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -391,7 +391,7 @@
             exchange.request().target(),
             headers,
             exchange.request().body(),
-            intent.attemptId());
+            requestId());
     UpstreamAttempt newAttempt =
         new UpstreamAttempt(
             components, route, requestId(), crashSubjects, upstream, answerStream, this);
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
@@ -36,11 +36,11 @@
     private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
     private int openCount;
 
-    @Nullable UpstreamConnection takeIdle(long now) {
+    @Nullable UpstreamConnection takeIdle(UpstreamRequest request, long now) {
       Iterator<UpstreamConnection> newestFirst = idleConnections.descendingIterator();
       while (newestFirst.hasNext()) {
         UpstreamConnection connection = newestFirst.next();
-        if (connection.usable(now)) {
+        if (connection.usable(now) && !connection.carriedBefore(request.attemptId())) {
           newestFirst.remove();
           return connection;
         }
@@ -91,7 +91,7 @@
    */
   Call send(String poolKey, String address, UpstreamRequest request, UpstreamListener listener) {
     Pool pool = poolsByKey.computeIfAbsent(poolKey, p -> new Pool());
-    UpstreamConnection idleConnection = pool.takeIdle(loop.now());
+    UpstreamConnection idleConnection = pool.takeIdle(request, loop.now());
     if (idleConnection != null) {
       idleConnection.send(request, listener);
       return idleConnection::close;
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Locale;
 import java.util.concurrent.Executor;
 import java.util.regex.Matcher;
@@ -39,6 +41,9 @@
    */
   private static final long MAX_OVERHEAD_BYTES = 128 << 10;
 
+  /** Most recent attempt identifiers that are kept to recognize one that is sent again. */
+  private static final int MAX_KEPT_ATTEMPT_IDS = 64;
+
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
 
   /**
@@ -69,6 +74,8 @@
   private final ByteBuffer readBuffer = BufferUtil.allocate(READ_BUFFER_BYTES);
   private @Nullable UpstreamListener listener;
   private @Nullable String attemptId;
+  private final Deque<String> recentAttemptIds = new ArrayDeque<>();
+  private boolean carriedRequest;
   private boolean skippingAnswer;
   private boolean upstreamCloses;
   private boolean bodyEndsAtClose;
@@ -125,10 +132,34 @@
     return !closed && listener == null && now < usableUntil;
   }
 
+  /**
+   * Returns whether an answer to an earlier request of this connection could be taken for one to an
+   * attempt: the attempt has no identifier, or a recent request had the same one.
+   *
+   * @param nextAttemptId identifier of the attempt, empty if it has none; null if it is no attempt
+   */
+  boolean carriedBefore(@Nullable String nextAttemptId) {
+    if (nextAttemptId == null) {
+      return false;
+    }
+    return nextAttemptId.isEmpty() ? carriedRequest : recentAttemptIds.contains(nextAttemptId);
+  }
+
+  private void recordCarried(@Nullable String sentAttemptId) {
+    carriedRequest = true;
+    if (sentAttemptId != null && !sentAttemptId.isEmpty()) {
+      recentAttemptIds.addLast(sentAttemptId);
+      if (recentAttemptIds.size() > MAX_KEPT_ATTEMPT_IDS) {
+        recentAttemptIds.removeFirst();
+      }
+    }
+  }
+
   /** Sends a request; its listener is called at the end unless {@link #close()} comes first. */
   void send(UpstreamRequest request, UpstreamListener answerListener) {
     listener = answerListener;
     attemptId = request.attemptId();
+    recordCarried(attemptId);
     answerComplete = false;
     closeAfterAnswer = false;
     receivedBytes = 0;
