Close the connection of a stage call that failed

A request got the stage results of another one: after a refusal that an upstream had written once more, the call counted as refused and its connection went back to the pool, with the true answer still to come. The next call on it took that answer for its own. Stage calls carry no id.

The connection of each failed call is closed now, not only after an answer that repeats known results.

--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -165,7 +165,6 @@
           timeout,
           () -> {
             if (!callEnded) {
-              closeConnection();
               failCall("no answer within " + timeout.toMillis() + " ms", false);
             }
           });
@@ -196,8 +195,6 @@
       try {
         List<PieceOutcome> outcomes = dialect.decodeOutcomes(call, body());
         if (queue.repeatsResults(call.id(), outcomes)) {
-          // The true answer may still follow on this connection.
-          closeConnection();
           failCall("the answer repeats results of an earlier call", false);
           return;
         }
@@ -227,6 +224,8 @@
 
     private void failCall(String failureReason, boolean refused) {
       callEnded = true;
+      // A repeated answer to an earlier call looks the same: the true one may still follow.
+      closeConnection();
       log.event(GatewayEvent.STAGE_CALL_ENDED)
           .with("service", service)
           .with("call", call.id())
