End a request whose processing throws instead of leaving it open (LOST)

Callers got no answer to a whole request if an exception was thrown while it was processed: by the intake, a stage, a permit, a timer or the end of an upstream's answer.

An exception no longer reaches the code that serves other requests in the same task; an Error still reaches the loop. The attempt is canceled before anything else that may fail, so that a request that got 503 isn't sent later.

--- a/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
@@ -194,6 +194,25 @@
     }
   }
 
+  /** Closes the connection if an exchange is still its current one. */
+  void closeDuring(CallerExchange failedExchange) {
+    if (exchange == failedExchange) {
+      close();
+    }
+  }
+
+  private void handle(CallerExchange newExchange) {
+    boolean handled = false;
+    try {
+      handler.onRequest(newExchange);
+      handled = true;
+    } finally {
+      if (!handled) {
+        newExchange.endAfterFailure(500);
+      }
+    }
+  }
+
   private void startIdleTimer() {
     startTimer(handler.limits().idleTimeout(), this::closeIfIdle);
   }
@@ -346,7 +365,7 @@
           CallerExchange.of(CallerConnection.this, request, closeAfterAnswer);
       exchange = newExchange;
       body = new ByteArrayOutputStream();
-      loop.execute(() -> handler.onRequest(newExchange));
+      loop.execute(() -> handle(newExchange));
       return true;
     }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerExchange.java
@@ -163,6 +163,26 @@
     }
   }
 
+  /**
+   * Ends the exchange after its processing has failed: with an answer without a body, or by closing
+   * the connection if another answer was started.
+   *
+   * @param status 503 if the request was not sent to an upstream, otherwise 500
+   */
+  void endAfterFailure(int status) {
+    if (state == State.OPEN) {
+      HttpFields.Mutable headers = HttpFields.build();
+      if (status == 503) {
+        headers.add(HttpHeader.RETRY_AFTER, "1");
+      }
+      reply(status, headers, new byte[0]);
+    } else if (state == State.STREAMING) {
+      abort();
+    } else {
+      connection.closeDuring(this);
+    }
+  }
+
   /**
    * Closes the connection without completing the answer; does nothing if the exchange has ended.
    */
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -70,7 +70,9 @@
   UPSTREAM_LIMITED(
       8053,
       Level.INFO,
-      "An upstream named another limit of requests a second for all gateways together, or none.");
+      "An upstream named another limit of requests a second for all gateways together, or none."),
+  REQUEST_STEP_FAILED(
+      8060, Level.SEVERE, "The processing of a request failed with an exception; it was ended.");
 
   private final Description description;
 
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.overload.StageAdmission.Decision;
@@ -61,7 +62,8 @@
   private final Route route;
   private final @Nullable Workspace workspace;
   private final RouteTable table;
-  private final Runnable onEnd;
+  private final Consumer<RequestFlow> onEnd;
+  private final RequestGuard guard;
   private final long startedAt;
   private final long firstByteDueAt;
   private final long deadline;
@@ -82,6 +84,9 @@
   private long attemptStartedAt;
   private boolean mayHaveExecuted;
 
+  /** Whether the current attempt was queued for writing to its upstream. */
+  private boolean sent;
+
   /** Whether the retry budget has granted the next attempt already. */
   private boolean retryGranted;
 
@@ -98,7 +103,7 @@
       Route route,
       @Nullable Workspace workspace,
       RouteTable table,
-      Runnable onEnd) {
+      Consumer<RequestFlow> onEnd) {
     this.components = components;
     this.exchange = exchange;
     this.intent = intent;
@@ -106,6 +111,9 @@
     this.workspace = workspace;
     this.table = table;
     this.onEnd = onEnd;
+    this.guard =
+        new RequestGuard(
+            components.loop(), components.log(), requestId(), this::endAfterFailedStep);
     this.startedAt = exchange.request().receivedAt();
     Duration callerTimeout = intent.callerTimeout();
     Duration alreadyWaited =
@@ -146,10 +154,14 @@
 
   /** Starts processing: admission and stages if the request has pieces, else an upstream call. */
   void start() {
-    exchange.onCallerGone(this::onCallerLeft);
+    guard.run(this::admit);
+  }
+
+  private void admit() {
+    exchange.onCallerGone(() -> guard.run(this::onCallerLeft));
     components.crashGuard().requestStarted(this);
     Duration untilDeadline = Duration.ofNanos(deadline - components.loop().now());
-    timers.add(components.loop().after(untilDeadline, this::onTimeout));
+    timers.add(guard.after(untilDeadline, this::onTimeout));
     if (heldBack()) {
       return;
     }
@@ -194,6 +206,10 @@
 
   @Override
   public void onQuarantined(String subject) {
+    guard.run(() -> holdBack(subject));
+  }
+
+  private void holdBack(String subject) {
     UpstreamAttempt currentAttempt = attempt;
     boolean waiting = currentAttempt == null || !currentAttempt.mayHaveBeenSent();
     if (requestEnded || subject.equals(trialSubject)) {
@@ -235,6 +251,7 @@
     StageRun currentRun =
         new StageRun(
             components,
+            guard,
             route,
             requestId(),
             intent.pieceKey(),
@@ -313,17 +330,20 @@
         .requestPermit(
             upstream,
             rank,
-            granted -> {
-              if (requestEnded) {
-                return;
-              }
-              if (!granted) {
-                upstreamChoice.permitRefused(upstream);
-                callUpstream(lastEventId);
-              } else if (trialSubject != null || !heldBack()) {
-                sendTo(upstream, lastEventId);
-              }
-            });
+            guard.receiver(granted -> onPermitDecided(upstream, lastEventId, granted)));
+  }
+
+  private void onPermitDecided(
+      UpstreamInstance upstream, @Nullable String lastEventId, boolean granted) {
+    if (requestEnded) {
+      return;
+    }
+    if (!granted) {
+      upstreamChoice.permitRefused(upstream);
+      callUpstream(lastEventId);
+    } else if (trialSubject != null || !heldBack()) {
+      sendTo(upstream, lastEventId);
+    }
   }
 
   private void refuseWithoutUpstream() {
@@ -357,6 +377,7 @@
       return;
     }
     attemptCount++;
+    sent = false;
     upstreamChoice.tried(upstream);
     if (attemptCount == 1) {
       components.retryBudget().attempted(serviceName);
@@ -394,7 +415,7 @@
             requestId());
     UpstreamAttempt newAttempt =
         new UpstreamAttempt(
-            components, route, requestId(), crashSubjects, upstream, answerStream, this);
+            components, guard, route, requestId(), crashSubjects, upstream, answerStream, this);
     attempt = newAttempt;
     attemptStartedAt = now;
     newAttempt.start(request, SilenceLimit.of(route, attemptCount).orElse(null));
@@ -417,9 +438,10 @@
 
   @Override
   public void onSent(UpstreamInstance upstream) {
+    sent = true;
     boolean inRegion = components.regions().regionOf(upstream.zone()).equals(region);
     if (!inputHandles.isEmpty() && inRegion && attemptCount >= route.maxAttempts()) {
-      timers.add(components.loop().after(INPUT_READ_TIME, this::cancelStages));
+      timers.add(guard.after(INPUT_READ_TIME, this::cancelStages));
     }
   }
 
@@ -583,6 +605,19 @@
         EMPTY_BODY);
   }
 
+  /** Ends the request after one of its steps has thrown, which may have been its end itself. */
+  private void endAfterFailedStep() {
+    int status = mayHaveExecuted || sent ? 500 : 503;
+    try {
+      if (!requestEnded) {
+        logRequestEnd(GatewayEvent.FAILED, "its processing failed", status);
+        finish("failed", () -> exchange.endAfterFailure(status));
+      }
+    } finally {
+      exchange.endAfterFailure(status);
+    }
+  }
+
   private void logRequestEnd(GatewayEvent event, String reason, int status) {
     components
         .log()
@@ -607,15 +642,16 @@
   /** Releases everything that the request holds, and ends its exchange. */
   private void finish(String outcome, Runnable endExchange) {
     requestEnded = true;
-    components.crashGuard().requestEnded(this);
-    timers.forEach(EventLoop.Timer::cancel);
+    onEnd.accept(this);
+    // Comes before what else may fail: a request that is answered with 503 must not be sent later.
     UpstreamAttempt currentAttempt = attempt;
     if (currentAttempt != null) {
       currentAttempt.cancel();
     }
+    components.crashGuard().requestEnded(this);
+    timers.forEach(EventLoop.Timer::cancel);
     cancelStages();
     components.metrics().requestEnded(route.name(), outcome);
-    onEnd.run();
     try {
       endExchange.run();
     } catch (AnswerStateException e) {
@@ -626,9 +662,9 @@
           .with("route", route.name())
           .cause(e)
           .write();
-    } finally {
-      exchange.abort();
     }
+    // Not reached if anything else was thrown; the guard then ends the exchange with an answer.
+    exchange.abort();
   }
 
   private void cancelStages() {
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestIntake.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestIntake.java
@@ -1,7 +1,9 @@
 package org.oriolewell.gateway;
 
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.route.Route;
@@ -17,8 +19,8 @@
   private static final byte[] EMPTY_BODY = new byte[0];
 
   private final GatewayComponents components;
-  private int inFlight;
   private int openExchanges;
+  private final Set<RequestFlow> flows = new LinkedHashSet<>();
 
   RequestIntake(GatewayComponents components) {
     this.components = components;
@@ -26,7 +28,7 @@
 
   /** Returns the number of accepted requests that have not ended. */
   int inFlight() {
-    return inFlight;
+    return flows.size();
   }
 
   /** Returns the number of requests, accepted or not, whose answer has not ended. */
@@ -38,6 +40,12 @@
   void accept(CallerExchange exchange) {
     openExchanges++;
     exchange.onEnd(() -> openExchanges--);
+    // A request that has been sent is ended by its flow, so that nothing was sent if this fails.
+    new RequestGuard(components.loop(), components.log(), "", () -> exchange.endAfterFailure(503))
+        .run(() -> startOrRefuse(exchange));
+  }
+
+  private void startOrRefuse(CallerExchange exchange) {
     CallerRequest request = exchange.request();
     Intent intent = components.dialect().decode(request.headers());
     if (exchange.detectCallerGone()) {
@@ -83,9 +91,10 @@
       refuse(exchange, intent, 400, "piece counts do not fit the route's stages", null);
       return;
     }
-    inFlight++;
-    new RequestFlow(components, exchange, intent, route.get(), workspace, table, () -> inFlight--)
-        .start();
+    RequestFlow flow =
+        new RequestFlow(components, exchange, intent, route.get(), workspace, table, flows::remove);
+    flows.add(flow);
+    flow.start();
   }
 
   private void refuse(
--- a/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
@@ -27,6 +27,7 @@
   }
 
   private final GatewayComponents components;
+  private final RequestGuard guard;
   private final Route route;
   private final String requestId;
   private final String pieceKey;
@@ -43,6 +44,7 @@
 
   StageRun(
       GatewayComponents components,
+      RequestGuard guard,
       Route route,
       String requestId,
       String pieceKey,
@@ -54,6 +56,7 @@
       StageProgress progress,
       Listener listener) {
     this.components = components;
+    this.guard = guard;
     this.route = route;
     this.requestId = requestId;
     this.pieceKey = pieceKey;
@@ -102,7 +105,7 @@
     if (millisToNextStart >= 0) {
       Duration delay =
           Duration.ofMillis((long) Math.min(millisToNextStart, MAX_RECHECK_MILLIS) + 1);
-      components.loop().after(delay, this::startReadyStages);
+      guard.after(delay, this::startReadyStages);
     }
   }
 
@@ -151,7 +154,7 @@
                     stage.index(), components.stageCoordinator().newTicket()),
                 work,
                 region,
-                outcome -> onPieceOutcome(stage, outcome, sentAt)));
+                guard.receiver(outcome -> onPieceOutcome(stage, outcome, sentAt))));
     announcedTickets.remove(stage.index());
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -80,6 +80,7 @@
   }
 
   private final GatewayComponents components;
+  private final RequestGuard guard;
   private final Route route;
   private final String requestId;
   private final CrashSubjects subjects;
@@ -108,11 +109,13 @@
   /**
    * Creates an attempt that has not been sent.
    *
+   * @param guard runs the timers of the attempt and the callbacks that end it
    * @param subjects what the request has in common with others
    * @param answerStream stream to the caller, which this attempt continues if it has started
    */
   UpstreamAttempt(
       GatewayComponents components,
+      RequestGuard guard,
       Route route,
       String requestId,
       CrashSubjects subjects,
@@ -120,6 +123,7 @@
       AnswerStream answerStream,
       Listener listener) {
     this.components = components;
+    this.guard = guard;
     this.route = route;
     this.requestId = requestId;
     this.subjects = subjects;
@@ -142,7 +146,11 @@
     call =
         components
             .client()
-            .send(UpstreamClient.poolKey(upstream), upstream.address(), request, this);
+            .send(
+                UpstreamClient.poolKey(upstream),
+                upstream.address(),
+                request,
+                new GuardedListener(guard, this));
   }
 
   /** Returns whether the upstream may have received the request. */
@@ -171,7 +179,7 @@
     stopInactivityTimer();
     Duration limit = inactivityTimeout;
     if (limit != null) {
-      inactivityTimer = components.loop().after(limit, this::onInactive);
+      inactivityTimer = guard.after(limit, this::onInactive);
     }
   }
 
@@ -301,7 +309,9 @@
       components
           .client()
           .checkAccepting(
-              UpstreamClient.poolKey(upstream), upstream.address(), this::endUnframedAnswer);
+              UpstreamClient.poolKey(upstream),
+              upstream.address(),
+              guard.receiver(this::endUnframedAnswer));
     } else {
       endAnswer();
     }
