Answer what is open when the time-out of a planned stop ends (LOST)

Callers of requests that were open at the end of the stop time-out found their connection closed without an answer: the event loop was closed under them. Connections that waited to be accepted were reset when the port closed. A stream that had begun before the stop ended with a connection that was closed without notice, so that the next request on it was lost.

0.4 s before the stop time-out requests that were not sent get 503 with Retry-After, those that may have run 502, streams are closed without their end; later requests get 503; up to 0.25 s is given to write this. Waiting connections are accepted before the port closes. Idle connections are read before they are closed, and are closed 0.5 s after their last use; an answer that didn't announce the end of its connection keeps it open.

--- a/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
@@ -63,6 +63,7 @@
   private ByteBuffer pendingInput = ByteBuffer.allocate(READ_BUFFER_BYTES).limit(0);
   private @Nullable CallerExchange exchange;
   private EventLoop.@Nullable Timer timer;
+  private long idleSince;
   private boolean messageStarted;
   private boolean closed;
   private boolean readRequested;
@@ -214,19 +215,26 @@
   }
 
   private void startIdleTimer() {
+    idleSince = loop.now();
     startTimer(handler.limits().idleTimeout(), this::closeIfIdle);
   }
 
-  /** Closes the connection after its idle time-out unless a request has arrived meanwhile. */
-  private void closeIfIdle() {
-    readArrivedInput();
+  /** Closes the connection unless a request is being answered, or has arrived at least in part. */
+  void closeIfIdle() {
+    if (idle()) {
+      readArrivedInput();
+    }
     if (idle()) {
       close();
     }
   }
 
-  /** Returns whether no request is being read or answered. */
-  boolean idle() {
+  /** Returns whether the connection was opened, or its last answer ended, within a time limit. */
+  boolean recentlyUsed(Duration limit) {
+    return loop.now() - idleSince < limit.toNanos();
+  }
+
+  private boolean idle() {
     return exchange == null && !messageStarted && !pendingInput.hasRemaining();
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerExchange.java
@@ -23,6 +23,7 @@
   private final CallerRequest request;
   private final boolean closeAfterAnswer;
   private State state = State.OPEN;
+  private boolean closeAnnounced;
   private @Nullable Runnable onCallerGone;
   private Runnable onEnd = () -> {};
 
@@ -133,7 +134,8 @@
     state = State.STREAMING;
     HttpFields.Mutable answerHeaders = HttpFields.build(headers);
     answerHeaders.put(HttpHeader.TRANSFER_ENCODING, "chunked");
-    if (closeAfterAnswer || connection.stopping()) {
+    closeAnnounced = closeAfterAnswer || connection.stopping();
+    if (closeAnnounced) {
       answerHeaders.put(HttpHeader.CONNECTION, "close");
     }
     connection.write(HttpText.responseHead(status, answerHeaders));
@@ -159,7 +161,7 @@
     if (!callerGone("endStream", State.STREAMING)) {
       end(State.ENDED);
       connection.write(HttpText.lastChunk());
-      connection.exchangeEnded(!closeAfterAnswer && !connection.stopping());
+      connection.exchangeEnded(!closeAnnounced);
     }
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -42,6 +42,15 @@
   /** Time before the stop time-out at which waiting for requests in flight ends. */
   private static final Duration STOP_MARGIN = Duration.ofMillis(400);
 
+  /** Time in which the answers of the requests that a stop ends are written. */
+  private static final Duration STOP_OUTPUT_TIMEOUT = Duration.ofMillis(250);
+
+  /**
+   * Time for which a connection stays open during a stop after it was opened, or after an answer
+   * that didn't announce its end, since the next request may be on its way.
+   */
+  private static final Duration NEXT_REQUEST_TIMEOUT = Duration.ofMillis(500);
+
   /** Interval at which a graceful stop checks whether all requests have ended. */
   private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(50);
 
@@ -239,9 +248,7 @@
         () -> {
           mesh.drain();
           control.unregister();
-          loop.after(STOP_ACCEPTING_DELAY, this::stopAccepting);
-          loop.after(
-              STOP_ACCEPTING_DELAY.plus(STOP_CHECK_INTERVAL), () -> awaitIdle(stopStartedAt));
+          loop.after(STOP_ACCEPTING_DELAY, () -> stopAccepting(stopStartedAt));
         });
     try {
       stopFinished.await(stopTimeout.toMillis(), TimeUnit.MILLISECONDS);
@@ -252,7 +259,7 @@
     loop.close();
   }
 
-  private void stopAccepting() {
+  private void stopAccepting(long stopStartedAt) {
     try {
       callerListener.close();
     } catch (IOException e) {
@@ -262,22 +269,38 @@
           .write();
     }
     closeIdleCallers();
+    // Not timed from the start of the stop: accepted connections are opened by later tasks.
+    loop.after(STOP_CHECK_INTERVAL, () -> awaitIdle(stopStartedAt));
   }
 
   private void closeIdleCallers() {
     List.copyOf(callerConnections).stream()
-        .filter(CallerConnection::idle)
-        .forEach(CallerConnection::close);
+        .filter(connection -> !connection.recentlyUsed(NEXT_REQUEST_TIMEOUT))
+        .forEach(CallerConnection::closeIfIdle);
   }
 
   private void awaitIdle(long stopStartedAt) {
     closeIdleCallers();
     boolean idle = callerConnections.isEmpty() && intake.inFlight() == 0 && stageCoordinator.idle();
     boolean timedOut = loop.now() - stopStartedAt > stopTimeout.minus(STOP_MARGIN).toNanos();
-    if (idle || timedOut) {
+    if (idle) {
       stopFinished.countDown();
+    } else if (timedOut) {
+      log.event(GatewayEvent.STOP_TIMED_OUT).with("open", intake.inFlight()).write();
+      intake.endForStop();
+      awaitOutput(loop.now());
     } else {
       loop.after(STOP_CHECK_INTERVAL, () -> awaitIdle(stopStartedAt));
     }
   }
+
+  private void awaitOutput(long outputStartedAt) {
+    closeIdleCallers();
+    boolean timedOut = loop.now() - outputStartedAt > STOP_OUTPUT_TIMEOUT.toNanos();
+    if (callerConnections.isEmpty() || timedOut) {
+      stopFinished.countDown();
+    } else {
+      loop.after(STOP_CHECK_INTERVAL, () -> awaitOutput(outputStartedAt));
+    }
+  }
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -11,6 +11,10 @@
   SETTINGS_RELOADED(8004, Level.INFO, "The settings file was read again after SIGHUP."),
   SETTINGS_REFUSED(
       8005, Level.SEVERE, "The changed settings file is not valid; the old settings stay in use."),
+  STOP_TIMED_OUT(
+      8006,
+      Level.WARNING,
+      "The time-out of a planned stop is over; the requests that are open are ended."),
   STORE_LOST(8010, Level.WARNING, "The store does not answer; the gateway goes on with its copy."),
   STORE_REGAINED(8011, Level.INFO, "The store answers again."),
   HISTORY_LOST(8012, Level.INFO, "The store has dropped the history; everything is read again."),
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -43,6 +43,14 @@
   /** Retry-After when the chosen upstreams are full; about the time of one batch. */
   private static final Duration FULL_RETRY_AFTER = Duration.ofMillis(300);
 
+  /** Retry-After when the process ends; other gateways can take the request at once. */
+  static final Duration STOP_RETRY_AFTER = Duration.ofMillis(100);
+
+  /** Reason in the log for requests that a planned stop ends. */
+  static final String STOP_REASON = "the time-out of the planned stop is over";
+
+  private static final String STOP_METRIC_REASON = "stopping";
+
   /**
    * Time after which an engine of the region has read a request's inputs: it reads them before the
    * prompt, and the largest take about 10 ms. The inputs are freed then, unless another attempt may
@@ -567,6 +575,18 @@
     }
   }
 
+  /** Ends the request because the process stops: a refusal if it wasn't sent, otherwise a 502. */
+  void endForStop() {
+    guard.run(
+        () -> {
+          if (mayHaveExecuted || sent) {
+            fail(STOP_REASON, 502);
+          } else {
+            refuse(STOP_REASON, STOP_METRIC_REASON, STOP_RETRY_AFTER);
+          }
+        });
+  }
+
   private void refuse(String reason, String metricReason, @Nullable Duration retryAfter) {
     if (requestEnded) {
       return;
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestIntake.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestIntake.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
@@ -21,6 +22,7 @@
   private final GatewayComponents components;
   private int openExchanges;
   private final Set<RequestFlow> flows = new LinkedHashSet<>();
+  private boolean stopped;
 
   RequestIntake(GatewayComponents components) {
     this.components = components;
@@ -36,6 +38,12 @@
     return openExchanges;
   }
 
+  /** Ends all accepted requests before the process stops, and refuses all later ones. */
+  void endForStop() {
+    stopped = true;
+    List.copyOf(flows).forEach(RequestFlow::endForStop);
+  }
+
   /** Starts a caller's request, or refuses it with an HTTP status. */
   void accept(CallerExchange exchange) {
     openExchanges++;
@@ -57,6 +65,10 @@
           .write();
       return;
     }
+    if (stopped) {
+      refuse(exchange, intent, 503, RequestFlow.STOP_REASON, RequestFlow.STOP_RETRY_AFTER);
+      return;
+    }
     RouteTable table = components.control().table();
     if (table == null) {
       refuse(exchange, intent, 503, "no configuration", NOT_READY_RETRY_AFTER);
--- a/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
@@ -219,7 +219,8 @@
   }
 
   /**
-   * A bound port that accepts connections until it is closed.
+   * A bound port that accepts connections until it is closed; those that wait to be accepted at
+   * that time are accepted.
    *
    * @param address bound address with the actual port
    * @param acceptor stops the acceptance of connections when closed
@@ -247,7 +248,13 @@
     channel.configureBlocking(false);
     selectorManager.registerServer(channel, factory);
     Closeable acceptor = selectorManager.acceptor(channel);
-    return new Listener((InetSocketAddress) channel.getLocalAddress(), acceptor, channel);
+    return new Listener(
+        (InetSocketAddress) channel.getLocalAddress(),
+        () -> {
+          acceptor.close();
+          selectorManager.acceptWaiting(channel);
+        },
+        channel);
   }
 
   /**
@@ -296,6 +303,12 @@
       factoriesByServer.put(channel, factory);
     }
 
+    private void acceptWaiting(ServerSocketChannel channel) throws IOException {
+      while (doAccept(channel) != null) {
+        // doAccept has registered a connection; the next one may wait.
+      }
+    }
+
     private @Nullable ManagedSelector selector() {
       return isRunning() ? chooseSelector() : null;
     }
