--- a/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
@@ -37,6 +37,21 @@
   /** Most output that is queued for a slow caller; beyond it the connection is closed. */
   private static final long MAX_QUEUED_OUTPUT_BYTES = 4 << 20;
 
+  /** Longest time in which the last output of a connection is written to a slow caller. */
+  private static final Duration LAST_OUTPUT_TIMEOUT = Duration.ofSeconds(10);
+
+  /** Interval at which the end of the last output is checked. */
+  private static final Duration LAST_OUTPUT_CHECK_INTERVAL = Duration.ofMillis(5);
+
+  /**
+   * Longest time for which input is discarded after the output was shut down. A connection that is
+   * closed with unread input is reset, and a reset can destroy output that the caller hasn't read.
+   */
+  private static final Duration DISCARD_TIMEOUT = Duration.ofSeconds(1);
+
+  /** Most input that is discarded before a connection is closed. */
+  private static final long MAX_DISCARDED_BYTES = 16 << 20;
+
   /** Handles the requests on the connections of one listening port. */
   interface Handler {
     /** Called for each complete request; the handler must end the exchange. */
@@ -68,6 +83,8 @@
   private boolean closed;
   private boolean readRequested;
   private boolean closeAfterOutput;
+  private boolean inputEnded;
+  private long discardedBytes;
 
   CallerConnection(EndPoint endPoint, Executor executor, EventLoop loop, Handler handler) {
     super(endPoint, executor);
@@ -115,7 +132,9 @@
   }
 
   private boolean mayRead() {
-    return !closed && pendingInput.remaining() < MAX_PIPELINED_BYTES;
+    return !closed
+        && !inputEnded
+        && (closeAfterOutput || pendingInput.remaining() < MAX_PIPELINED_BYTES);
   }
 
   /**
@@ -140,14 +159,15 @@
       for (int reads = 0; reads < MAX_READS_PER_TURN && mayRead(); reads++) {
         int filledBytes = getEndPoint().fill(readBuffer);
         if (filledBytes < 0) {
-          close();
-          return false;
-        }
-        if (filledBytes == 0) {
+          onInputEnded();
+        } else if (filledBytes == 0) {
           break;
+        } else if (closeAfterOutput) {
+          discardInput();
+        } else {
+          appendInput();
+          parse();
         }
-        appendInput();
-        parse();
       }
     } catch (Exception e) {
       close();
@@ -155,6 +175,22 @@
     return !closed;
   }
 
+  private void onInputEnded() {
+    if (closeAfterOutput && !output.idle()) {
+      inputEnded = true;
+    } else {
+      close();
+    }
+  }
+
+  private void discardInput() {
+    discardedBytes += readBuffer.remaining();
+    BufferUtil.clear(readBuffer);
+    if (discardedBytes > MAX_DISCARDED_BYTES) {
+      close();
+    }
+  }
+
   private void appendInput() {
     if (pendingInput.capacity() - pendingInput.limit() < readBuffer.remaining()) {
       ByteBuffer largerBuffer =
@@ -235,7 +271,7 @@
   }
 
   private boolean idle() {
-    return exchange == null && !messageStarted && !pendingInput.hasRemaining();
+    return exchange == null && !messageStarted && !closeAfterOutput && !pendingInput.hasRemaining();
   }
 
   private void startTimer(Duration delay, Runnable task) {
@@ -267,8 +303,11 @@
   void exchangeEnded(boolean keepOpen) {
     exchange = null;
     messageStarted = false;
+    if (closed) {
+      return;
+    }
     if (!keepOpen || parser.isClose() || parser.isClosed()) {
-      closeAfterOutputDrains();
+      closeAfterLastOutput();
       return;
     }
     parser.reset();
@@ -277,12 +316,24 @@
     read();
   }
 
-  private void closeAfterOutputDrains() {
+  /** Closes the connection when its output is written and its input has ended or was discarded. */
+  private void closeAfterLastOutput() {
     closeAfterOutput = true;
-    if (output.idle()) {
+    awaitLastOutput(loop.now() + LAST_OUTPUT_TIMEOUT.toNanos());
+    read();
+  }
+
+  private void awaitLastOutput(long dueAt) {
+    if (closed) {
+      return;
+    }
+    if (!output.idle() && loop.now() < dueAt) {
+      startTimer(LAST_OUTPUT_CHECK_INTERVAL, () -> awaitLastOutput(dueAt));
+    } else if (!output.idle() || inputEnded) {
       close();
     } else {
-      startTimer(Duration.ofMillis(5), this::closeAfterOutputDrains);
+      getEndPoint().shutdownOutput();
+      startTimer(DISCARD_TIMEOUT, this::close);
     }
   }
 
@@ -290,7 +341,7 @@
     HttpFields headers =
         HttpFields.build().add(HttpHeader.CONNECTION, "close").add(HttpHeader.CONTENT_LENGTH, "0");
     write(HttpText.responseHead(status, headers));
-    closeAfterOutputDrains();
+    closeAfterLastOutput();
   }
 
   /** Collects the parsed parts of a request until it is complete. */
