--- a/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
@@ -37,6 +37,9 @@
   /** Most output that is queued for a slow caller; beyond it the connection is closed. */
   private static final long MAX_QUEUED_OUTPUT_BYTES = 4 << 20;
 
+  /** Longest time in which the body of a request may arrive, however steadily it does. */
+  private static final Duration MAX_BODY_TIME = Duration.ofSeconds(60);
+
   /** Longest time in which the last output of a connection is written to a slow caller. */
   private static final Duration LAST_OUTPUT_TIMEOUT = Duration.ofSeconds(10);
 
@@ -73,7 +76,9 @@
   private final EventLoop loop;
   private final Handler handler;
   private final OutputQueue output;
-  private final HttpParser parser;
+  private final RequestAssembler assembler = new RequestAssembler();
+  private int maxHeaderBytes;
+  private HttpParser parser;
   private final ByteBuffer readBuffer = BufferUtil.allocate(READ_BUFFER_BYTES);
   private ByteBuffer pendingInput = ByteBuffer.allocate(READ_BUFFER_BYTES).limit(0);
   private @Nullable CallerExchange exchange;
@@ -92,7 +97,8 @@
     this.handler = handler;
     this.output =
         new OutputQueue(endPoint, MAX_QUEUED_OUTPUT_BYTES, cause -> loop.dispatch(this::close));
-    this.parser = new HttpParser(new RequestAssembler(), handler.limits().maxHeaderBytes());
+    this.maxHeaderBytes = handler.limits().maxHeaderBytes();
+    this.parser = new HttpParser(assembler, maxHeaderBytes);
   }
 
   @Override
@@ -207,7 +213,17 @@
     BufferUtil.clear(readBuffer);
   }
 
+  /** Applies a changed limit, which an existing parser can't take over, to the next request. */
+  private void applyHeaderLimit() {
+    int newLimit = handler.limits().maxHeaderBytes();
+    if (newLimit != maxHeaderBytes && parser.isStart()) {
+      maxHeaderBytes = newLimit;
+      parser = new HttpParser(assembler, newLimit);
+    }
+  }
+
   private void parse() {
+    applyHeaderLimit();
     while (!closed && exchange == null && !closeAfterOutput && pendingInput.hasRemaining()) {
       if (!parser.parseNext(pendingInput) && !pendingInput.hasRemaining()) {
         return;
@@ -252,7 +268,22 @@
 
   private void startIdleTimer() {
     idleSince = loop.now();
-    startTimer(handler.limits().idleTimeout(), this::closeIfIdle);
+    startTimer(handler.limits().idleTimeout(), this::onIdleTimer);
+  }
+
+  private void onIdleTimer() {
+    Duration remaining = remainingTime(idleSince, handler.limits().idleTimeout());
+    if (remaining.isZero()) {
+      closeIfIdle();
+    } else {
+      startTimer(remaining, this::onIdleTimer);
+    }
+  }
+
+  /** Returns the rest of a time limit, which may have changed since its timer was started. */
+  private Duration remainingTime(long since, Duration limit) {
+    long remainingNanos = limit.toNanos() - (loop.now() - since);
+    return Duration.ofNanos(Math.max(0, remainingNanos));
   }
 
   /** Closes the connection unless a request is being answered, or has arrived at least in part. */
@@ -352,11 +383,41 @@
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private HttpVersion version = HttpVersion.HTTP_1_1;
     private boolean refused;
+    private long messageStartedAt;
+    private boolean headRead;
+    private long headReadAt;
+    private long lastContentAt;
 
     @Override
     public void messageBegin() {
       messageStarted = true;
-      startTimer(handler.limits().headerTimeout(), () -> refuseAndClose(408));
+      messageStartedAt = loop.now();
+      headRead = false;
+      startTimer(handler.limits().headerTimeout(), this::refuseIfLate);
+    }
+
+    /** Refuses the request if it is not complete when its time is over. */
+    private void refuseIfLate() {
+      readArrivedInput();
+      if (closed || closeAfterOutput || exchange != null) {
+        return;
+      }
+      Duration remaining = remainingTime();
+      if (remaining.isZero()) {
+        refuseAndClose(408);
+      } else {
+        startTimer(remaining, this::refuseIfLate);
+      }
+    }
+
+    private Duration remainingTime() {
+      CallerLimits limits = handler.limits();
+      if (!headRead) {
+        return CallerConnection.this.remainingTime(messageStartedAt, limits.headerTimeout());
+      }
+      Duration untilIdle = CallerConnection.this.remainingTime(lastContentAt, limits.idleTimeout());
+      Duration untilLimit = CallerConnection.this.remainingTime(headReadAt, MAX_BODY_TIME);
+      return untilIdle.compareTo(untilLimit) < 0 ? untilIdle : untilLimit;
     }
 
     @Override
@@ -375,7 +436,10 @@
 
     @Override
     public boolean headerComplete() {
-      startTimer(handler.limits().idleTimeout(), () -> refuseAndClose(408));
+      headRead = true;
+      headReadAt = loop.now();
+      lastContentAt = headReadAt;
+      startTimer(remainingTime(), this::refuseIfLate);
       long contentLength = headers.getLongField(HttpHeader.CONTENT_LENGTH);
       if (contentLength > handler.limits().maxBodyBytes()) {
         refused = true;
@@ -393,6 +457,7 @@
       if (refused) {
         return true;
       }
+      lastContentAt = loop.now();
       if (body.size() + content.remaining() > handler.limits().maxBodyBytes()) {
         refused = true;
         refuseAndClose(413);
