--- a/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
@@ -37,6 +37,24 @@
   /** Most output that is queued for a slow caller; beyond it the connection is closed. */
   private static final long MAX_QUEUED_OUTPUT_BYTES = 4 << 20;
 
+  /** Longest time in which the body of a request may arrive, however steadily it does. */
+  private static final Duration MAX_BODY_TIME = Duration.ofSeconds(60);
+
+  /** Longest time in which the last output of a connection is written to a slow caller. */
+  private static final Duration LAST_OUTPUT_TIMEOUT = Duration.ofSeconds(10);
+
+  /** Interval at which the end of the last output is checked. */
+  private static final Duration LAST_OUTPUT_CHECK_INTERVAL = Duration.ofMillis(5);
+
+  /**
+   * Longest time for which input is discarded after the output was shut down. A connection that is
+   * closed with unread input is reset, and a reset can destroy output that the caller hasn't read.
+   */
+  private static final Duration DISCARD_TIMEOUT = Duration.ofSeconds(1);
+
+  /** Most input that is discarded before a connection is closed. */
+  private static final long MAX_DISCARDED_BYTES = 16 << 20;
+
   /** Handles the requests on the connections of one listening port. */
   interface Handler {
     /** Called for each complete request; the handler must end the exchange. */
@@ -58,15 +76,20 @@
   private final EventLoop loop;
   private final Handler handler;
   private final OutputQueue output;
-  private final HttpParser parser;
+  private final RequestAssembler assembler = new RequestAssembler();
+  private int maxHeaderBytes;
+  private HttpParser parser;
   private final ByteBuffer readBuffer = BufferUtil.allocate(READ_BUFFER_BYTES);
   private ByteBuffer pendingInput = ByteBuffer.allocate(READ_BUFFER_BYTES).limit(0);
   private @Nullable CallerExchange exchange;
   private EventLoop.@Nullable Timer timer;
+  private long idleSince;
   private boolean messageStarted;
   private boolean closed;
   private boolean readRequested;
   private boolean closeAfterOutput;
+  private boolean inputEnded;
+  private long discardedBytes;
 
   CallerConnection(EndPoint endPoint, Executor executor, EventLoop loop, Handler handler) {
     super(endPoint, executor);
@@ -74,7 +97,8 @@
     this.handler = handler;
     this.output =
         new OutputQueue(endPoint, MAX_QUEUED_OUTPUT_BYTES, cause -> loop.dispatch(this::close));
-    this.parser = new HttpParser(new RequestAssembler(), handler.limits().maxHeaderBytes());
+    this.maxHeaderBytes = handler.limits().maxHeaderBytes();
+    this.parser = new HttpParser(assembler, maxHeaderBytes);
   }
 
   @Override
@@ -114,7 +138,9 @@
   }
 
   private boolean mayRead() {
-    return !closed && pendingInput.remaining() < MAX_PIPELINED_BYTES;
+    return !closed
+        && !inputEnded
+        && (closeAfterOutput || pendingInput.remaining() < MAX_PIPELINED_BYTES);
   }
 
   /**
@@ -139,14 +165,15 @@
       for (int reads = 0; reads < MAX_READS_PER_TURN && mayRead(); reads++) {
         int filledBytes = getEndPoint().fill(readBuffer);
         if (filledBytes < 0) {
-          close();
-          return false;
-        }
-        if (filledBytes == 0) {
+          onInputEnded();
+        } else if (filledBytes == 0) {
           break;
+        } else if (closeAfterOutput) {
+          discardInput();
+        } else {
+          appendInput();
+          parse();
         }
-        appendInput();
-        parse();
       }
     } catch (Exception e) {
       close();
@@ -154,6 +181,22 @@
     return !closed;
   }
 
+  private void onInputEnded() {
+    if (closeAfterOutput && !output.idle()) {
+      inputEnded = true;
+    } else {
+      close();
+    }
+  }
+
+  private void discardInput() {
+    discardedBytes += readBuffer.remaining();
+    BufferUtil.clear(readBuffer);
+    if (discardedBytes > MAX_DISCARDED_BYTES) {
+      close();
+    }
+  }
+
   private void appendInput() {
     if (pendingInput.capacity() - pendingInput.limit() < readBuffer.remaining()) {
       ByteBuffer largerBuffer =
@@ -170,7 +213,17 @@
     BufferUtil.clear(readBuffer);
   }
 
+  /** Applies a changed limit, which an existing parser can't take over, to the next request. */
+  private void applyHeaderLimit() {
+    int newLimit = handler.limits().maxHeaderBytes();
+    if (newLimit != maxHeaderBytes && parser.isStart()) {
+      maxHeaderBytes = newLimit;
+      parser = new HttpParser(assembler, newLimit);
+    }
+  }
+
   private void parse() {
+    applyHeaderLimit();
     while (!closed && exchange == null && !closeAfterOutput && pendingInput.hasRemaining()) {
       if (!parser.parseNext(pendingInput) && !pendingInput.hasRemaining()) {
         return;
@@ -194,21 +247,62 @@
     }
   }
 
+  /** Closes the connection if an exchange is still its current one. */
+  void closeDuring(CallerExchange failedExchange) {
+    if (exchange == failedExchange) {
+      close();
+    }
+  }
+
+  private void handle(CallerExchange newExchange) {
+    boolean handled = false;
+    try {
+      handler.onRequest(newExchange);
+      handled = true;
+    } finally {
+      if (!handled) {
+        newExchange.endAfterFailure(500);
+      }
+    }
+  }
+
   private void startIdleTimer() {
-    startTimer(handler.limits().idleTimeout(), this::closeIfIdle);
+    idleSince = loop.now();
+    startTimer(handler.limits().idleTimeout(), this::onIdleTimer);
+  }
+
+  private void onIdleTimer() {
+    Duration remaining = remainingTime(idleSince, handler.limits().idleTimeout());
+    if (remaining.isZero()) {
+      closeIfIdle();
+    } else {
+      startTimer(remaining, this::onIdleTimer);
+    }
+  }
+
+  /** Returns the rest of a time limit, which may have changed since its timer was started. */
+  private Duration remainingTime(long since, Duration limit) {
+    long remainingNanos = limit.toNanos() - (loop.now() - since);
+    return Duration.ofNanos(Math.max(0, remainingNanos));
   }
 
-  /** Closes the connection after its idle time-out unless a request has arrived meanwhile. */
-  private void closeIfIdle() {
-    readArrivedInput();
+  /** Closes the connection unless a request is being answered, or has arrived at least in part. */
+  void closeIfIdle() {
+    if (idle()) {
+      readArrivedInput();
+    }
     if (idle()) {
       close();
     }
   }
 
-  /** Returns whether no request is being read or answered. */
-  boolean idle() {
-    return exchange == null && !messageStarted && !pendingInput.hasRemaining();
+  /** Returns whether the connection was opened, or its last answer ended, within a time limit. */
+  boolean recentlyUsed(Duration limit) {
+    return loop.now() - idleSince < limit.toNanos();
+  }
+
+  private boolean idle() {
+    return exchange == null && !messageStarted && !closeAfterOutput && !pendingInput.hasRemaining();
   }
 
   private void startTimer(Duration delay, Runnable task) {
@@ -240,8 +334,11 @@
   void exchangeEnded(boolean keepOpen) {
     exchange = null;
     messageStarted = false;
+    if (closed) {
+      return;
+    }
     if (!keepOpen || parser.isClose() || parser.isClosed()) {
-      closeAfterOutputDrains();
+      closeAfterLastOutput();
       return;
     }
     parser.reset();
@@ -250,12 +347,24 @@
     read();
   }
 
-  private void closeAfterOutputDrains() {
+  /** Closes the connection when its output is written and its input has ended or was discarded. */
+  private void closeAfterLastOutput() {
     closeAfterOutput = true;
-    if (output.idle()) {
+    awaitLastOutput(loop.now() + LAST_OUTPUT_TIMEOUT.toNanos());
+    read();
+  }
+
+  private void awaitLastOutput(long dueAt) {
+    if (closed) {
+      return;
+    }
+    if (!output.idle() && loop.now() < dueAt) {
+      startTimer(LAST_OUTPUT_CHECK_INTERVAL, () -> awaitLastOutput(dueAt));
+    } else if (!output.idle() || inputEnded) {
       close();
     } else {
-      startTimer(Duration.ofMillis(5), this::closeAfterOutputDrains);
+      getEndPoint().shutdownOutput();
+      startTimer(DISCARD_TIMEOUT, this::close);
     }
   }
 
@@ -263,7 +372,7 @@
     HttpFields headers =
         HttpFields.build().add(HttpHeader.CONNECTION, "close").add(HttpHeader.CONTENT_LENGTH, "0");
     write(HttpText.responseHead(status, headers));
-    closeAfterOutputDrains();
+    closeAfterLastOutput();
   }
 
   /** Collects the parsed parts of a request until it is complete. */
@@ -274,11 +383,41 @@
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private HttpVersion version = HttpVersion.HTTP_1_1;
     private boolean refused;
+    private long messageStartedAt;
+    private boolean headRead;
+    private long headReadAt;
+    private long lastContentAt;
 
     @Override
     public void messageBegin() {
       messageStarted = true;
-      startTimer(handler.limits().headerTimeout(), () -> refuseAndClose(408));
+      messageStartedAt = loop.now();
+      headRead = false;
+      startTimer(handler.limits().headerTimeout(), this::refuseIfLate);
+    }
+
+    /** Refuses the request if it is not complete when its time is over. */
+    private void refuseIfLate() {
+      readArrivedInput();
+      if (closed || closeAfterOutput || exchange != null) {
+        return;
+      }
+      Duration remaining = remainingTime();
+      if (remaining.isZero()) {
+        refuseAndClose(408);
+      } else {
+        startTimer(remaining, this::refuseIfLate);
+      }
+    }
+
+    private Duration remainingTime() {
+      CallerLimits limits = handler.limits();
+      if (!headRead) {
+        return CallerConnection.this.remainingTime(messageStartedAt, limits.headerTimeout());
+      }
+      Duration untilIdle = CallerConnection.this.remainingTime(lastContentAt, limits.idleTimeout());
+      Duration untilLimit = CallerConnection.this.remainingTime(headReadAt, MAX_BODY_TIME);
+      return untilIdle.compareTo(untilLimit) < 0 ? untilIdle : untilLimit;
     }
 
     @Override
@@ -297,7 +436,10 @@
 
     @Override
     public boolean headerComplete() {
-      startTimer(handler.limits().idleTimeout(), () -> refuseAndClose(408));
+      headRead = true;
+      headReadAt = loop.now();
+      lastContentAt = headReadAt;
+      startTimer(remainingTime(), this::refuseIfLate);
       long contentLength = headers.getLongField(HttpHeader.CONTENT_LENGTH);
       if (contentLength > handler.limits().maxBodyBytes()) {
         refused = true;
@@ -315,6 +457,7 @@
       if (refused) {
         return true;
       }
+      lastContentAt = loop.now();
       if (body.size() + content.remaining() > handler.limits().maxBodyBytes()) {
         refused = true;
         refuseAndClose(413);
@@ -346,7 +489,7 @@
           CallerExchange.of(CallerConnection.this, request, closeAfterAnswer);
       exchange = newExchange;
       body = new ByteArrayOutputStream();
-      loop.execute(() -> handler.onRequest(newExchange));
+      loop.execute(() -> handle(newExchange));
       return true;
     }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerExchange.java
@@ -23,6 +23,7 @@
   private final CallerRequest request;
   private final boolean closeAfterAnswer;
   private State state = State.OPEN;
+  private boolean closeAnnounced;
   private @Nullable Runnable onCallerGone;
   private Runnable onEnd = () -> {};
 
@@ -133,7 +134,8 @@
     state = State.STREAMING;
     HttpFields.Mutable answerHeaders = HttpFields.build(headers);
     answerHeaders.put(HttpHeader.TRANSFER_ENCODING, "chunked");
-    if (closeAfterAnswer || connection.stopping()) {
+    closeAnnounced = closeAfterAnswer || connection.stopping();
+    if (closeAnnounced) {
       answerHeaders.put(HttpHeader.CONNECTION, "close");
     }
     connection.write(HttpText.responseHead(status, answerHeaders));
@@ -159,7 +161,27 @@
     if (!callerGone("endStream", State.STREAMING)) {
       end(State.ENDED);
       connection.write(HttpText.lastChunk());
-      connection.exchangeEnded(!closeAfterAnswer && !connection.stopping());
+      connection.exchangeEnded(!closeAnnounced);
+    }
+  }
+
+  /**
+   * Ends the exchange after its processing has failed: with an answer without a body, or by closing
+   * the connection if another answer was started.
+   *
+   * @param status 503 if the request was not sent to an upstream, otherwise 500
+   */
+  void endAfterFailure(int status) {
+    if (state == State.OPEN) {
+      HttpFields.Mutable headers = HttpFields.build();
+      if (status == 503) {
+        headers.add(HttpHeader.RETRY_AFTER, "1");
+      }
+      reply(status, headers, new byte[0]);
+    } else if (state == State.STREAMING) {
+      abort();
+    } else {
+      connection.closeDuring(this);
     }
   }
 
