--- a/core/src/main/java/org/oriolewell/core/roster/UpstreamInstance.java
+++ b/core/src/main/java/org/oriolewell/core/roster/UpstreamInstance.java
@@ -16,7 +16,7 @@
     String id,
     long startedMillis,
     String service,
-    String address,
+    Ipv4SocketAddress address,
     String zone,
     int slots,
     boolean draining) {
--- a/core/src/test/java/org/oriolewell/core/placement/PlacementTest.java
+++ b/core/src/test/java/org/oriolewell/core/placement/PlacementTest.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.oriolewell.core.roster.Ipv4SocketAddress;
 import org.oriolewell.core.roster.UpstreamInstance;
 
 /** Checks affinity by prompt prefix, bounded engine load, and avoidance of failing upstreams. */
@@ -15,7 +16,9 @@
   private static final List<UpstreamInstance> ENGINES =
       IntStream.range(0, 5)
           .mapToObj(
-              i -> new UpstreamInstance("e" + i, 1, "engine", "h:" + i, "z" + i % 2, 8, false))
+              i ->
+                  new UpstreamInstance(
+                      "e" + i, 1, "engine", new Ipv4SocketAddress(1, i), "z" + i % 2, 8, false))
           .toList();
 
   private final UpstreamHealth health = UpstreamHealth.create();
--- a/core/src/test/java/org/oriolewell/core/roster/RestoredRosterTest.java
+++ b/core/src/test/java/org/oriolewell/core/roster/RestoredRosterTest.java
@@ -16,7 +16,8 @@
 
   private static UpstreamEntry entry(long startedMillis, boolean draining, long sequence) {
     return new UpstreamEntry(
-        new UpstreamInstance("a", startedMillis, "engine", "10.0.0.1:80", "z", 8, draining),
+        new UpstreamInstance(
+            "a", startedMillis, "engine", Ipv4SocketAddress.parse("10.0.0.1:80"), "z", 8, draining),
         sequence);
   }
 
--- a/core/src/test/java/org/oriolewell/core/roster/RosterTest.java
+++ b/core/src/test/java/org/oriolewell/core/roster/RosterTest.java
@@ -19,7 +19,8 @@
   private static UpstreamEntry entry(
       String id, long startedMillis, boolean draining, long sequence) {
     return new UpstreamEntry(
-        new UpstreamInstance(id, startedMillis, "engine", "10.0.0.1:80", "z", 8, draining),
+        new UpstreamInstance(
+            id, startedMillis, "engine", Ipv4SocketAddress.parse("10.0.0.1:80"), "z", 8, draining),
         sequence);
   }
 
--- a/core/src/test/java/org/oriolewell/core/stage/BurstReplayTest.java
+++ b/core/src/test/java/org/oriolewell/core/stage/BurstReplayTest.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.oriolewell.core.roster.Ipv4SocketAddress;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.StageService;
 
@@ -91,7 +92,10 @@
     StageQueue queue = StageQueue.create("retrieve", SERVICE_CAPACITY);
     List<UpstreamInstance> upstreams =
         IntStream.range(0, UPSTREAM_COUNT)
-            .mapToObj(i -> new UpstreamInstance("u" + i, 1, "retrieve", "h:" + i, "z", 1, false))
+            .mapToObj(
+                i ->
+                    new UpstreamInstance(
+                        "u" + i, 1, "retrieve", new Ipv4SocketAddress(1, i), "z", 1, false))
             .toList();
     queue.replaceUpstreams(upstreams, 0);
     long[] endTimes = new long[arrivalTimes.size()];
--- a/core/src/test/java/org/oriolewell/core/stage/StageQueueTest.java
+++ b/core/src/test/java/org/oriolewell/core/stage/StageQueueTest.java
@@ -8,6 +8,7 @@
 import java.util.OptionalDouble;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.oriolewell.core.roster.Ipv4SocketAddress;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.StageService;
 import org.oriolewell.core.stage.PieceOutcome.Status;
@@ -33,7 +34,8 @@
   private final StageQueue queue = StageQueue.create("encode", SERVICE_CAPACITY);
 
   private static UpstreamInstance upstream(String id, String zone) {
-    return new UpstreamInstance(id, 1, "encode", "10.0.0.1:" + id.hashCode(), zone, 1, false);
+    return new UpstreamInstance(
+        id, 1, "encode", new Ipv4SocketAddress(id.hashCode(), 80), zone, 1, false);
   }
 
   private static StageWork work(long ticket, int pieces, long resultBytes, long latestStartMillis) {
--- a/gateway/src/main/java/org/oriolewell/gateway/ControlFeed.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlFeed.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import org.oriolewell.core.roster.Ipv4SocketAddress;
 import org.oriolewell.core.roster.UpstreamEntry;
 import org.oriolewell.core.route.RouteTable;
 
@@ -53,7 +54,7 @@
    * @param zone availability zone of its host
    * @param region region of its host
    */
-  record Peer(String name, String address, String zone, String region) {}
+  record Peer(String name, Ipv4SocketAddress address, String zone, String region) {}
 
   /**
    * Updates up to a revision of the store.
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.oriolewell.core.placement.Placement;
 import org.oriolewell.core.placement.UpstreamHealth;
 import org.oriolewell.core.retry.SharedRetryBudget;
+import org.oriolewell.core.roster.Ipv4SocketAddress;
 import org.oriolewell.core.route.CallerLimits;
 import org.oriolewell.core.route.RouteTable;
 import org.oriolewell.gateway.ControlFeed.Peer;
@@ -70,11 +71,12 @@
     RequestDialect dialect = platformAdapter.requestDialect();
     client = UpstreamClient.create(loop, dialect.attemptIdHeader());
     StoreCaller store =
-        StoreCaller.create(loop, client, settings.value(GatewaySettings.STORE_ADDRESS));
+        StoreCaller.create(
+            loop, client, Ipv4SocketAddress.parse(settings.value(GatewaySettings.STORE_ADDRESS)));
     Peer self =
         new Peer(
             settings.value(GatewaySettings.NAME),
-            settings.value(GatewaySettings.PEER_ADDRESS),
+            Ipv4SocketAddress.parseBindAddress(settings.value(GatewaySettings.PEER_ADDRESS)),
             settings.value(GatewaySettings.ZONE),
             settings.value(GatewaySettings.REGION));
     ControlFeed feed = platformAdapter.controlFeed(settings, store);
@@ -167,7 +169,7 @@
   private EventLoop.Listener listenHttp(String address, CallerConnection.Handler handler)
       throws IOException {
     return loop.listen(
-        UpstreamClient.parseAddress(address),
+        UpstreamClient.toInetSocketAddress(Ipv4SocketAddress.parseBindAddress(address)),
         endPoint -> new CallerConnection(endPoint, loop::execute, loop, handler));
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/PeerMesh.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/PeerMesh.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.roster.Ipv4SocketAddress;
 import org.oriolewell.core.routing.Hashing;
 import org.oriolewell.gateway.ControlFeed.Peer;
 import org.oriolewell.runtime.log.EventLog;
@@ -114,7 +115,7 @@
     private void connect() {
       connecting = true;
       loop.connect(
-          UpstreamClient.parseAddress(peer.address()),
+          UpstreamClient.toInetSocketAddress(peer.address()),
           endPoint -> WireConnection.of(endPoint, loop::execute, this, MAX_FRAME_BYTES),
           failure -> connecting = false);
     }
@@ -272,7 +273,7 @@
     PeerMesh mesh = new PeerMesh(loop, control, handler, log);
     EventLoop.Listener peerListener =
         loop.listen(
-            UpstreamClient.parseAddress(address),
+            UpstreamClient.toInetSocketAddress(Ipv4SocketAddress.parseBindAddress(address)),
             endPoint ->
                 WireConnection.of(
                     endPoint, loop::execute, mesh.new IncomingListener(), MAX_FRAME_BYTES));
--- a/gateway/src/main/java/org/oriolewell/gateway/StageCoordinator.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageCoordinator.java
@@ -276,7 +276,7 @@
   String producerZone(String service, String handle) {
     String address = dialect.producerAddress(handle);
     return control.roster().usable(service).stream()
-        .filter(upstream -> upstream.address().equals(address))
+        .filter(upstream -> upstream.address().toString().equals(address))
         .findFirst()
         .map(UpstreamInstance::zone)
         .orElse("");
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -74,7 +74,7 @@
   /** Replaces the upstreams that calls are sent to. */
   void upstreams(Collection<UpstreamInstance> instances) {
     queue.replaceUpstreams(instances, loop.now());
-    instances.forEach(instance -> upstreamsByAddress.put(instance.address(), instance));
+    instances.forEach(instance -> upstreamsByAddress.put(instance.address().toString(), instance));
     sendNextCalls();
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/StoreCaller.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StoreCaller.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.http.HttpFields;
+import org.oriolewell.core.roster.Ipv4SocketAddress;
 import org.oriolewell.gateway.ControlFeed.FeedException;
 import org.oriolewell.runtime.net.EventLoop;
 
@@ -17,7 +18,7 @@
 
   private final EventLoop loop;
   private final UpstreamClient client;
-  private final String storeAddress;
+  private final Ipv4SocketAddress storeAddress;
 
   /**
    * An HTTP answer of the store.
@@ -28,14 +29,14 @@
    */
   public record Answer(int status, HttpFields headers, byte[] body) {}
 
-  private StoreCaller(EventLoop loop, UpstreamClient client, String storeAddress) {
+  private StoreCaller(EventLoop loop, UpstreamClient client, Ipv4SocketAddress storeAddress) {
     this.loop = loop;
     this.client = client;
     this.storeAddress = storeAddress;
   }
 
   /** Returns a client for the store at an IP address and port. */
-  static StoreCaller create(EventLoop loop, UpstreamClient client, String storeAddress) {
+  static StoreCaller create(EventLoop loop, UpstreamClient client, Ipv4SocketAddress storeAddress) {
     return new StoreCaller(loop, client, storeAddress);
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -12,6 +14,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.roster.Ipv4SocketAddress;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.runtime.net.EventLoop;
 
@@ -89,7 +92,11 @@
    * @param poolKey identifies one start of one upstream, whose connections are reused
    * @param address IP address and port of the upstream
    */
-  Call send(String poolKey, String address, UpstreamRequest request, UpstreamListener listener) {
+  Call send(
+      String poolKey,
+      Ipv4SocketAddress address,
+      UpstreamRequest request,
+      UpstreamListener listener) {
     Pool pool = poolsByKey.computeIfAbsent(poolKey, p -> new Pool());
     UpstreamConnection idleConnection = pool.takeIdle(request, loop.now());
     if (idleConnection != null) {
@@ -100,7 +107,7 @@
   }
 
   private Call openAndSend(
-      Pool pool, String address, UpstreamRequest request, UpstreamListener listener) {
+      Pool pool, Ipv4SocketAddress address, UpstreamRequest request, UpstreamListener listener) {
     PendingConnection pendingConnection = new PendingConnection(request, listener);
     open(
         pool,
@@ -113,11 +120,11 @@
   /** Opens a connection that belongs to a pool; one of the two receivers is called on the loop. */
   private void open(
       Pool pool,
-      String address,
+      Ipv4SocketAddress address,
       Consumer<UpstreamConnection> onOpened,
       Consumer<Throwable> onFailed) {
     loop.connect(
-        parseAddress(address),
+        toInetSocketAddress(address),
         endPoint -> {
           UpstreamConnection connection =
               new UpstreamConnection(endPoint, executor, loop, pool, attemptIdHeader);
@@ -183,7 +190,7 @@
    * @param onResult called with false if the upstream's host refuses connections to the address,
    *     and with true otherwise, also if there is no answer
    */
-  void checkAccepting(String poolKey, String address, Consumer<Boolean> onResult) {
+  void checkAccepting(String poolKey, Ipv4SocketAddress address, Consumer<Boolean> onResult) {
     Pool pool = poolsByKey.computeIfAbsent(poolKey, p -> new Pool());
     open(
         pool,
@@ -195,11 +202,13 @@
         failure -> onResult.accept(!(failure instanceof ConnectException)));
   }
 
-  /** Parses an address of the form {@code IP:PORT}; host names aren't resolved. */
-  static InetSocketAddress parseAddress(String address) {
-    int colon = address.lastIndexOf(':');
-    return new InetSocketAddress(
-        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+  /** Returns the same address as the type of the Java library, without resolving anything. */
+  static InetSocketAddress toInetSocketAddress(Ipv4SocketAddress address) {
+    try {
+      return new InetSocketAddress(InetAddress.getByAddress(address.octets()), address.port());
+    } catch (UnknownHostException e) {
+      throw new IllegalStateException("an IPv4 address has four octets", e);
+    }
   }
 
   /** Closes idle connections that have reached their time-out, before the upstream closes them. */
