--- a/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
@@ -19,7 +19,6 @@
 import org.oriolewell.core.route.RouteTable;
 import org.oriolewell.core.routing.Hashing;
 import org.oriolewell.gateway.ControlFeed.Batch;
-import org.oriolewell.gateway.ControlFeed.FeedException;
 import org.oriolewell.gateway.ControlFeed.Peer;
 import org.oriolewell.gateway.ControlFeed.Update;
 import org.oriolewell.runtime.log.EventLog;
@@ -29,30 +28,7 @@
  * Keeps this gateway's copy of the configuration and of the lists of upstreams and gateways up to
  * date, and keeps this gateway registered. Used on the event loop only.
  */
-final class ControlPlane {
-  /**
-   * Longest time that the store holds a call for changes open. Each answer confirms that the copy
-   * is fresh. A failed call takes 1 s more and is followed by short ones, so that one failed call,
-   * and almost a second one, fits into the usual key revocation limit of 5 s.
-   */
-  private static final Duration POLL_WAIT = Duration.ofMillis(2000);
-
-  /** The same time for a call after a failed one, which has to confirm the copy soon. */
-  private static final Duration POLL_WAIT_AFTER_FAILURE = Duration.ofMillis(100);
-
-  /**
-   * Pause after an answer with changes, so that further ones are read in one batch: calls to the
-   * store cost money, and many upstreams and gateways change at once. Changes must be applied
-   * within 2.5 s.
-   */
-  private static final Duration CHANGE_BATCH_DELAY = Duration.ofMillis(200);
-
-  /** Pause after a first failed call; doubles with each further one, to protect the store. */
-  private static final Duration FIRST_RETRY_DELAY = Duration.ofMillis(100);
-
-  /** Longest pause between failed calls; a recovered store is noticed within a second. */
-  private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(800);
-
+final class ControlPlane implements FeedReader.Receiver {
   /** Interval of the clock check, which detects a suspended process even without requests. */
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(250);
 
@@ -67,6 +43,8 @@
 
   private final EventLoop loop;
   private final ControlFeed feed;
+  private final FeedReader reader;
+  private final FailureGuard guard;
   private final EventLog log;
   private final InstantSource clock;
   private final Peer self;
@@ -87,10 +65,6 @@
   private Update.@Nullable Configured heldConfig;
 
   private boolean storeLost;
-  private Duration retryDelay = FIRST_RETRY_DELAY;
-
-  /** Raised when the store was restored, so that answers to earlier calls are ignored. */
-  private int reading;
 
   /** Whether the store was restored and not read since. */
   private boolean restoredUnread;
@@ -104,9 +78,6 @@
   /** Era that is marked as settled in the store. */
   private long markedEra;
 
-  /** Store revision that the copy reflects; 0 before the first snapshot. */
-  private long storeRevision;
-
   private boolean confirmingFreshness;
 
   /** Receives the entries of the store about subjects in quarantine. */
@@ -145,6 +116,8 @@
     this.settleTime = settleTime;
     this.history = StoreHistory.create(settleTime);
     this.registration = new SelfRegistration(loop, feed, self, log);
+    this.guard = new FailureGuard(log);
+    this.reader = new FeedReader(loop, feed, this, log);
   }
 
   /**
@@ -171,7 +144,7 @@
   void start() {
     loop.every(CHECK_INTERVAL, this::runPeriodicChecks);
     feed.observeEras(this::onEra);
-    readSnapshot();
+    reader.restart();
     registration.start();
   }
 
@@ -237,7 +210,7 @@
    * from the answer to that call, which receives them, too.
    */
   private void startConfirmingFreshness() {
-    if (!confirmingFreshness && storeRevision != 0) {
+    if (!confirmingFreshness && reader.revision() != 0) {
       confirmingFreshness = true;
       confirmFreshness();
     }
@@ -245,14 +218,14 @@
 
   private void confirmFreshness() {
     long sentAt = loop.now();
-    int currentReading = reading;
-    feed.changes(storeRevision, POLL_WAIT_AFTER_FAILURE)
+    int currentReading = reader.reading();
+    FailureGuard.start(() -> feed.changes(reader.revision(), FeedReader.POLL_WAIT_AFTER_FAILURE))
         .whenComplete(
             (batch, failure) ->
                 loop.execute(
                     () -> {
                       if (failure == null
-                          && currentReading == reading
+                          && currentReading == reader.reading()
                           && batch.updates().isEmpty()) {
                         confirmCopy(sentAt, sentAt);
                       }
@@ -260,7 +233,8 @@
                       if (confirmingFreshness) {
                         boolean soon = failure == null && history.isSettled(loop.now());
                         loop.after(
-                            soon ? CHANGE_BATCH_DELAY : MAX_RETRY_DELAY, this::confirmFreshness);
+                            soon ? FeedReader.CHANGE_BATCH_DELAY : FeedReader.MAX_RETRY_DELAY,
+                            this::confirmFreshness);
                       }
                     }));
   }
@@ -293,13 +267,12 @@
   private void onStoreRestored(long era) {
     log.event(GatewayEvent.STORE_RESTORED)
         .with("era", era)
-        .with("known_revision", storeRevision)
+        .with("known_revision", reader.revision())
         .write();
-    reading++;
     restoredUnread = true;
-    roster.storeRestored(loop.now());
-    registration.storeRestored();
-    readSnapshot();
+    guard.run("restored roster", () -> roster.storeRestored(loop.now()));
+    guard.run("restored registration", registration::storeRestored);
+    reader.restart();
   }
 
   /** Applies what was held back until the history of the store is settled, and marks it. */
@@ -330,13 +303,13 @@
     if (markedEra == era || history.era() != era) {
       return;
     }
-    feed.markSettled(era)
+    FailureGuard.start(() -> feed.markSettled(era))
         .whenComplete(
             (done, failure) ->
                 loop.execute(
                     () -> {
                       if (failure != null) {
-                        loop.after(MAX_RETRY_DELAY, () -> markSettled(era));
+                        loop.after(FeedReader.MAX_RETRY_DELAY, () -> markSettled(era));
                       }
                     }));
   }
@@ -355,87 +328,29 @@
     }
   }
 
-  private void readSnapshot() {
-    long sentAt = loop.now();
-    int currentReading = reading;
-    feed.snapshot()
-        .whenComplete(
-            (batch, failure) ->
-                loop.execute(
-                    () -> {
-                      if (currentReading != reading) {
-                        return;
-                      }
-                      if (failure != null) {
-                        onStoreLost(failure);
-                        afterPause(nextRetryDelay(), this::readSnapshot);
-                      } else {
-                        onStoreRegained();
-                        replaceAll(batch);
-                        confirmCopy(sentAt, sentAt);
-                        notifyListeners();
-                        pollChanges(batch.revision(), POLL_WAIT);
-                      }
-                    }));
+  @Override
+  public void onSnapshot(Batch batch, long sentAt) {
+    replaceAll(batch);
+    confirmCopy(sentAt, sentAt);
+    notifyListeners();
   }
 
-  /** Goes on with reading after a pause, unless the store was restored meanwhile. */
-  private void afterPause(Duration pause, Runnable task) {
-    int currentReading = reading;
-    loop.after(
-        pause,
-        () -> {
-          if (currentReading == reading) {
-            task.run();
-          }
-        });
-  }
-
-  private void pollChanges(long afterRevision, Duration maxWait) {
-    long sentAt = loop.now();
-    int currentReading = reading;
-    storeRevision = afterRevision;
-    feed.changes(afterRevision, maxWait)
-        .whenComplete(
-            (batch, failure) ->
-                loop.execute(
-                    () -> {
-                      if (currentReading != reading) {
-                        return;
-                      }
-                      if (failure == null) {
-                        applyChanges(batch, sentAt, maxWait);
-                      } else if (FeedException.reasonOf(failure)
-                          == FeedException.Reason.HISTORY_LOST) {
-                        log.event(GatewayEvent.HISTORY_LOST)
-                            .with("revision", afterRevision)
-                            .write();
-                        readSnapshot();
-                      } else {
-                        onStoreLost(failure);
-                        afterPause(
-                            nextRetryDelay(),
-                            () -> pollChanges(afterRevision, POLL_WAIT_AFTER_FAILURE));
-                      }
-                    }));
-  }
-
-  private void applyChanges(Batch batch, long sentAt, Duration maxWait) {
-    onStoreRegained();
+  @Override
+  public void onChanges(Batch batch, long sentAt, Duration maxWait) {
     observeClocks();
     // An empty answer after the full wait confirms its end; any other only confirms the send time.
     boolean fullWait = batch.updates().isEmpty() && loop.now() - sentAt >= maxWait.toNanos();
-    batch.updates().forEach(this::applyChange);
+    batch.updates().forEach(update -> guard.run(stepName(update), () -> applyChange(update)));
     confirmCopy(sentAt, fullWait ? sentAt + maxWait.toNanos() : sentAt);
-    storeRevision = batch.revision();
-    if (batch.updates().isEmpty()) {
-      pollChanges(batch.revision(), POLL_WAIT);
-    } else {
+    if (!batch.updates().isEmpty()) {
       notifyListeners();
-      afterPause(CHANGE_BATCH_DELAY, () -> pollChanges(batch.revision(), POLL_WAIT));
     }
   }
 
+  private static String stepName(Update update) {
+    return update.getClass().getSimpleName();
+  }
+
   private void applyChange(Update change) {
     applyUpdate(change);
     if (change instanceof Update.Configured configured
@@ -463,24 +378,25 @@
       } else if (update instanceof Update.SubjectQuarantined listed) {
         trialDelaysBySubject.put(listed.subject(), listed.trialDelay());
       } else if (update instanceof Update.Configured configured && restored) {
-        applyRestoredConfig(configured);
+        guard.run(stepName(update), () -> applyRestoredConfig(configured));
       } else {
         if (update instanceof Update.PeerListed listed) {
           listedNames.add(listed.peer().name());
           ownLeaseId = listed.peer().name().equals(self.name()) ? listed.leaseId() : ownLeaseId;
         }
-        applyUpdate(update);
+        guard.run(stepName(update), () -> applyUpdate(update));
       }
     }
-    roster.replaceAll(upstreams, loop.now());
+    guard.run("roster", () -> roster.replaceAll(upstreams, loop.now()));
     if (restored) {
+      final long readLeaseId = ownLeaseId;
       keepPeersForLease(listedNames);
-      registration.entryRead(ownLeaseId);
+      guard.run("registration", () -> registration.entryRead(readLeaseId));
     }
     peersByName
         .keySet()
         .removeIf(name -> !listedNames.contains(name) && !unconfirmedPeers.contains(name));
-    quarantineListener.onSnapshot(trialDelaysBySubject, restored);
+    guard.run("quarantine", () -> quarantineListener.onSnapshot(trialDelaysBySubject, restored));
   }
 
   /**
@@ -504,7 +420,7 @@
     unconfirmedPeers.clear();
     unconfirmedPeers.addAll(peersByName.keySet());
     unconfirmedPeers.removeAll(listedNames);
-    afterPause(
+    reader.afterPause(
         SelfRegistration.LEASE_DURATION,
         () -> {
           if (peersByName.keySet().removeAll(unconfirmedPeers)) {
@@ -587,10 +503,11 @@
   }
 
   private void notifyListeners() {
-    changeListeners.forEach(Runnable::run);
+    changeListeners.forEach(listener -> guard.run("change listener", listener));
   }
 
-  private void onStoreLost(Throwable failure) {
+  @Override
+  public void onFailed(Throwable failure) {
     roster.storeLost();
     if (!storeLost) {
       storeLost = true;
@@ -598,8 +515,8 @@
     }
   }
 
-  private void onStoreRegained() {
-    retryDelay = FIRST_RETRY_DELAY;
+  @Override
+  public void onAnswered() {
     roster.storeRegained(loop.now());
     if (storeLost) {
       storeLost = false;
@@ -607,13 +524,6 @@
     }
   }
 
-  private Duration nextRetryDelay() {
-    Duration delay = retryDelay;
-    Duration doubledDelay = retryDelay.multipliedBy(2);
-    retryDelay = doubledDelay.compareTo(MAX_RETRY_DELAY) > 0 ? MAX_RETRY_DELAY : doubledDelay;
-    return delay;
-  }
-
   /** Removes this gateway from the list of gateways. */
   void unregister() {
     registration.end();
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -33,6 +33,10 @@
   PEER_LOST(8021, Level.WARNING, "The connection to another gateway was lost; it is dialed again."),
   REGISTERED(8022, Level.INFO, "This gateway is listed in the store."),
   REGISTRATION_FAILED(8023, Level.WARNING, "This gateway could not be listed; it tries again."),
+  UPDATE_FAILED(
+      8024,
+      Level.WARNING,
+      "A step that follows a read of the store has failed; the other steps go on."),
   ROUTED(8030, Level.INFO, "A request was accepted; the fields say by which route and why."),
   REFUSED(8031, Level.INFO, "A request was refused without having run; the field reason says why."),
   STAGE_SENT(8032, Level.INFO, "A stage of a request was handed to its dispatcher."),
--- a/gateway/src/main/java/org/oriolewell/gateway/StoreCaller.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StoreCaller.java
@@ -46,7 +46,14 @@
    */
   public CompletableFuture<Answer> call(UpstreamRequest request, Duration timeout) {
     CompletableFuture<Answer> result = new CompletableFuture<>();
-    loop.execute(() -> new PendingCall(result).start(request, timeout));
+    loop.execute(
+        () -> {
+          try {
+            new PendingCall(result).start(request, timeout);
+          } catch (RuntimeException e) {
+            result.completeExceptionally(e);
+          }
+        });
     return result;
   }
 
