--- a/core/src/main/java/org/oriolewell/core/route/Route.java
+++ b/core/src/main/java/org/oriolewell/core/route/Route.java
@@ -1,7 +1,9 @@
 package org.oriolewell.core.route;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * A route of the configuration: which requests it matches and how they are served.
@@ -43,10 +45,40 @@
    */
   public record Target(String service, double weight) {}
 
-  /** Copies the lists of targets and stages. */
+  /** Most stages of a route. */
+  private static final int MAX_STAGES = 64;
+
+  /**
+   * Copies the lists of targets and stages.
+   *
+   * @throws IllegalArgumentException if there are too many stages, or one of them can never start
+   */
   public Route {
     targets = List.copyOf(targets);
     stages = List.copyOf(stages);
+    checkStages(name, stages);
+  }
+
+  private static void checkStages(String route, List<StageSpec> stages) {
+    if (stages.size() > MAX_STAGES) {
+      throw new IllegalArgumentException(
+          "route " + route + " has " + stages.size() + " stages; the limit is " + MAX_STAGES);
+    }
+    Set<Integer> startable = new HashSet<>();
+    boolean added = true;
+    while (added) {
+      added = false;
+      for (StageSpec stage : stages) {
+        added |= startable.containsAll(stage.inputStages()) && startable.add(stage.index());
+      }
+    }
+    if (startable.size() < stages.size()) {
+      throw new IllegalArgumentException(
+          "route "
+              + route
+              + " has stages that can never start: their field after names a stage that doesn't"
+              + " exist or that waits for them");
+    }
   }
 
   /** Returns whether a request may be retried after an upstream may have started to run it. */
