Log the parts of the time that admission expects

Callers of field-query are refused for 20 s after a burst, with "stages would take N ms", and the line doesn't say which part of N is large.

--- a/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
@@ -11,10 +11,15 @@
 
 /** Computes the estimates of each region and lets {@link StageAdmission} decide on a request. */
 final class RequestAdmission {
+  /** Time that stands for an infinite one in the log, in milliseconds. */
+  static final long MAX_LOGGED_MILLIS = 1_000_000;
+
   private final GatewayComponents components;
   private final Route route;
   private final String serviceName;
   private final int rank;
+  private final double firstByteMillis;
+  private final double correctionMillis;
 
   /**
    * Creates the admission check of one request.
@@ -27,6 +32,26 @@
     this.route = route;
     this.serviceName = serviceName;
     this.rank = rank;
+    this.firstByteMillis = components.firstByteTimes().expectedMillis(route.name());
+    this.correctionMillis = components.forecastBias().correctionMillis(route.name());
+  }
+
+  /**
+   * Parts of the expected time until the first byte of an answer, in milliseconds.
+   *
+   * @param stagesMillis time of the stages; at most {@value #MAX_LOGGED_MILLIS}
+   * @param firstByteMillis time from sending the request to an upstream until the first byte
+   * @param correctionMillis mean error of earlier forecasts as far as it is corrected; may be
+   *     negative
+   */
+  record Parts(long stagesMillis, long firstByteMillis, long correctionMillis) {}
+
+  /** Returns the parts of an expected time that {@link #decide} has returned. */
+  Parts parts(double expectedMillis) {
+    return new Parts(
+        (long) Math.min(expectedMillis - firstByteMillis - correctionMillis, MAX_LOGGED_MILLIS),
+        (long) firstByteMillis,
+        (long) correctionMillis);
   }
 
   /**
@@ -73,7 +98,7 @@
                 components
                     .stageCoordinator()
                     .expectedMillis(route.stages().get(stage).service(), region, workRank, offset))
-        + components.firstByteTimes().expectedMillis(route.name())
-        + components.forecastBias().correctionMillis(route.name());
+        + firstByteMillis
+        + correctionMillis;
   }
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -78,6 +78,10 @@
   private int attemptCount;
   private int connectFailures;
   private double forecastMillis = -1;
+
+  /** Parts of the time that admission expected; null for a request without stages. */
+  private RequestAdmission.@Nullable Parts forecastParts;
+
   private long firstByteMillis = -1;
   private long attemptStartedAt;
   private boolean mayHaveExecuted;
@@ -209,16 +213,19 @@
   private void decideAdmission() {
     int[] pieces = intent.pieceCounts().stream().mapToInt(Integer::intValue).toArray();
     StageProgress progress = StageProgress.of(route.stages(), pieces);
-    Decision decision =
-        new RequestAdmission(components, route, serviceName, rank)
-            .decide(progress, firstByteDueAt, deadline);
+    RequestAdmission admission = new RequestAdmission(components, route, serviceName, rank);
+    Decision decision = admission.decide(progress, firstByteDueAt, deadline);
     if (decision instanceof Decision.Refuse refuse) {
+      forecastParts = admission.parts(refuse.expectedMillis());
       refuse(
-          "stages would take " + (long) Math.min(refuse.expectedMillis(), 1e6) + " ms",
+          "stages would take "
+              + (long) Math.min(refuse.expectedMillis(), RequestAdmission.MAX_LOGGED_MILLIS)
+              + " ms",
           "overload",
           refuse.retryAfter());
     } else if (decision instanceof Decision.Accept accept) {
       region = accept.region();
+      forecastParts = admission.parts(accept.expectedMillis());
       if (accept.late()) {
         rank = StageLoad.LATE_RANK;
       } else {
@@ -261,6 +268,7 @@
   }
 
   private void logRouted(String reason, long expectedMillis) {
+    RequestAdmission.Parts parts = forecastParts;
     components
         .log()
         .event(GatewayEvent.ROUTED)
@@ -273,6 +281,9 @@
         .with("rank", rank)
         .with("reason", reason)
         .with("expected_ms", expectedMillis)
+        .with("stages_ms", parts == null ? null : parts.stagesMillis())
+        .with("first_byte_ms", parts == null ? null : parts.firstByteMillis())
+        .with("correction_ms", parts == null ? null : parts.correctionMillis())
         .with("target_ms", route.latencyTarget().toMillis())
         .with(
             "patience_ms",
@@ -550,6 +561,7 @@
       return;
     }
     long now = components.loop().now();
+    RequestAdmission.Parts parts = forecastParts;
     components
         .log()
         .event(GatewayEvent.REFUSED)
@@ -557,6 +569,9 @@
         .with("route", route.name())
         .with("reason", reason)
         .with("status", 503)
+        .with("stages_ms", parts == null ? null : parts.stagesMillis())
+        .with("first_byte_ms", parts == null ? null : parts.firstByteMillis())
+        .with("correction_ms", parts == null ? null : parts.correctionMillis())
         .with("ms", GatewayComponents.millisBetween(startedAt, now))
         .with("retry_after_ms", retryAfter == null ? null : retryAfter.toMillis())
         .write();
