--- a/core/src/main/java/org/oriolewell/core/overload/ForecastBias.java
+++ b/core/src/main/java/org/oriolewell/core/overload/ForecastBias.java
@@ -9,17 +9,13 @@
  *
  * <p>A forecast counts the work that is known when a request arrives. During a load burst more
  * urgent work arrives afterwards and runs first, so forecasts are too short just when they matter.
+ * Without new observations, as while all requests of a route are refused, its correction ages
+ * towards zero.
  *
  * <p>Not thread-safe.
  */
 public final class ForecastBias {
-  /** Weight of a new sample in the mean forecast error; averages about 8 requests of a route. */
-  private static final double SAMPLE_WEIGHT = 0.12;
-
-  /**
-   * Largest correction of a forecast in milliseconds, so that a wrong correction doesn't make
-   * admission refuse all requests of a route for long.
-   */
+  /** Largest correction of a forecast in milliseconds. */
   private static final double MAX_CORRECTION_MILLIS = 800;
 
   private static final double MIN_CORRECTION_MILLIS = -200;
@@ -29,7 +25,7 @@
    */
   private static final double CORRECTED_SHARE = 0.5;
 
-  private final Map<String, Double> meanErrorByRoute = new HashMap<>();
+  private final Map<String, AgingMean> meanErrorByRoute = new HashMap<>();
 
   private ForecastBias() {}
 
@@ -38,31 +34,30 @@
     return new ForecastBias();
   }
 
-  /** Records a request's uncorrected forecast and its actual time until the first answer byte. */
-  public void observed(String route, double forecastMillis, double actualMillis) {
+  /**
+   * Records a request's uncorrected forecast and its actual time until the first answer byte.
+   *
+   * @param now monotonic time in nanoseconds
+   */
+  public void observed(String route, double forecastMillis, double actualMillis, long now) {
     double errorMillis =
         Math.max(
             MIN_CORRECTION_MILLIS,
             Math.min(2 * MAX_CORRECTION_MILLIS, actualMillis - forecastMillis));
-    meanErrorByRoute.merge(
-        route,
-        errorMillis * SAMPLE_WEIGHT,
-        (meanErrorMillis, weightedError) ->
-            meanErrorMillis + SAMPLE_WEIGHT * (errorMillis - meanErrorMillis));
+    meanErrorByRoute
+        .computeIfAbsent(route, key -> AgingMean.startingAt(0, now))
+        .add(errorMillis, now);
   }
 
   /**
    * Returns the milliseconds to add to a forecast of a route; negative if forecasts are too long.
+   *
+   * @param now monotonic time in nanoseconds
    */
-  public double correctionMillis(String route) {
-    double meanErrorMillis = meanErrorByRoute.getOrDefault(route, 0.0);
+  public double correctionMillis(String route, long now) {
+    AgingMean meanError = meanErrorByRoute.get(route);
+    double meanErrorMillis = meanError == null ? 0 : meanError.valueAt(now);
     return Math.max(
         MIN_CORRECTION_MILLIS, Math.min(MAX_CORRECTION_MILLIS, meanErrorMillis * CORRECTED_SHARE));
   }
-
-  /** Reduces a route's correction after a refused request, so that later requests are accepted. */
-  public void refused(String route) {
-    meanErrorByRoute.computeIfPresent(
-        route, (key, meanErrorMillis) -> meanErrorMillis * (1 - SAMPLE_WEIGHT / 4));
-  }
 }
--- a/core/src/test/java/org/oriolewell/core/overload/AdmissionTest.java
+++ b/core/src/test/java/org/oriolewell/core/overload/AdmissionTest.java
@@ -10,6 +10,8 @@
 
 /** Checks that requests are accepted while capacity is free and that hopeless ones are refused. */
 class AdmissionTest {
+  private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(100);
+
   private static Estimate ownRegion(double expectedMillis, double lateExpectedMillis) {
     return new Estimate("south", true, expectedMillis, lateExpectedMillis);
   }
@@ -53,18 +55,18 @@
   }
 
   @Test
-  void forecastsAreCorrectedByHalfTheirMeanError() {
+  void forecastsAreCorrectedByHalfTheirMeanErrorWhileItIsRecent() {
     ForecastBias bias = ForecastBias.create();
+    long now = 0;
     for (int i = 0; i < 100; i++) {
-      bias.observed("survey", 1000, 1400);
+      now += SAMPLE_INTERVAL.toNanos();
+      bias.observed("survey", 1000, 1400, now);
     }
 
-    assertThat(bias.correctionMillis("survey")).isBetween(190.0, 210.0);
-    assertThat(bias.correctionMillis("other")).isZero();
-    for (int i = 0; i < 100; i++) {
-      bias.refused("survey");
-    }
-    assertThat(bias.correctionMillis("survey")).isLessThan(20);
+    assertThat(bias.correctionMillis("survey", now)).isBetween(190.0, 210.0);
+    assertThat(bias.correctionMillis("other", now)).isZero();
+    now += Duration.ofSeconds(4).toNanos();
+    assertThat(bias.correctionMillis("survey", now)).isLessThan(20);
   }
 
   @Test
@@ -80,10 +82,27 @@
   @Test
   void expectedFirstByteTimeFollowsObservedTimes() {
     FirstByteTimes times = FirstByteTimes.create();
+    long now = 0;
     for (int i = 0; i < 200; i++) {
-      times.observed("survey", 400);
+      now += SAMPLE_INTERVAL.toNanos();
+      times.observed("survey", 400, now);
+    }
+
+    assertThat(times.expectedMillis("survey", now)).isBetween(395.0, 405.0);
+  }
+
+  @Test
+  void answersOfOneStalledUpstreamDoNotDominate() {
+    FirstByteTimes times = FirstByteTimes.create();
+    long now = 0;
+    for (int i = 0; i < 20; i++) {
+      now += SAMPLE_INTERVAL.toNanos();
+      times.observed("survey", 200, now);
+    }
+    for (int i = 0; i < 20; i++) {
+      times.observed("survey", 3000, now + i);
     }
 
-    assertThat(times.expectedMillis("survey")).isBetween(395.0, 405.0);
+    assertThat(times.expectedMillis("survey", now + 20)).isLessThan(400);
   }
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
@@ -32,8 +32,9 @@
     this.route = route;
     this.serviceName = serviceName;
     this.rank = rank;
-    this.firstByteMillis = components.firstByteTimes().expectedMillis(route.name());
-    this.correctionMillis = components.forecastBias().correctionMillis(route.name());
+    long now = components.loop().now();
+    this.firstByteMillis = components.firstByteTimes().expectedMillis(route.name(), now);
+    this.correctionMillis = components.forecastBias().correctionMillis(route.name(), now);
   }
 
   /**
@@ -46,6 +47,11 @@
    */
   record Parts(long stagesMillis, long firstByteMillis, long correctionMillis) {}
 
+  /** Returns the milliseconds that were added to all estimates to correct earlier errors. */
+  double correctionMillis() {
+    return correctionMillis;
+  }
+
   /** Returns the parts of an expected time that {@link #decide} has returned. */
   Parts parts(double expectedMillis) {
     return new Parts(
@@ -67,15 +73,10 @@
       estimates.add(estimate(progress, region));
     }
     long now = components.loop().now();
-    Decision decision =
-        StageAdmission.decide(
-            estimates,
-            GatewayComponents.millisBetween(now, firstByteDueAt),
-            GatewayComponents.millisBetween(now, deadline));
-    if (decision instanceof Decision.Refuse) {
-      components.forecastBias().refused(route.name());
-    }
-    return decision;
+    return StageAdmission.decide(
+        estimates,
+        GatewayComponents.millisBetween(now, firstByteDueAt),
+        GatewayComponents.millisBetween(now, deadline));
   }
 
   private Estimate estimate(StageProgress progress, String region) {
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -229,8 +229,7 @@
       if (accept.late()) {
         rank = StageLoad.LATE_RANK;
       } else {
-        forecastMillis =
-            accept.expectedMillis() - components.forecastBias().correctionMillis(route.name());
+        forecastMillis = accept.expectedMillis() - admission.correctionMillis();
       }
       logRouted(
           accept.late() ? "late, behind other work" : "in time", (long) accept.expectedMillis());
@@ -440,9 +439,9 @@
     firstByteMillis = GatewayComponents.millisBetween(startedAt, now);
     components
         .firstByteTimes()
-        .observed(route.name(), GatewayComponents.millisBetween(attemptStartedAt, now));
+        .observed(route.name(), GatewayComponents.millisBetween(attemptStartedAt, now), now);
     if (forecastMillis >= 0) {
-      components.forecastBias().observed(route.name(), forecastMillis, firstByteMillis);
+      components.forecastBias().observed(route.name(), forecastMillis, firstByteMillis, now);
       forecastMillis = -1;
     }
     components.metrics().observeFirstByte(route.name(), firstByteMillis / 1000.0);
--- a/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
@@ -110,7 +110,7 @@
     long now = components.loop().now();
     double millisAfterStage =
         progress.remainingMillisAfter(stage.index(), this::expectedMillis)
-            + components.firstByteTimes().expectedMillis(route.name());
+            + components.firstByteTimes().expectedMillis(route.name(), now);
     long nanosAfterStage = Duration.ofMillis((long) Math.min(millisAfterStage, 60_000)).toNanos();
     long expectedCallNanos =
         Duration.ofMillis((long) Math.min(expectedMillis(stage.index(), 0), 300)).toNanos();
