--- a/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
@@ -9,6 +9,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +35,12 @@
   /** Connections that may wait to be accepted, so that a burst of new callers loses no packets. */
   private static final int ACCEPT_BACKLOG = 1024;
 
+  /** Package of the frames of a failed task that are logged: those of libraries say little. */
+  private static final String PACKAGE_PREFIX = "org.oriolewell.";
+
+  /** Most frames of a failed task that are logged. */
+  private static final int MAX_LOGGED_FRAMES = 4;
+
   private static final int MAX_THREADS = 8;
   private static final int MIN_THREADS = 2;
 
@@ -211,6 +218,13 @@
     StackTraceElement[] stackTrace = failure.getStackTrace();
     log.event(RuntimeEvent.TASK_FAILED)
         .with("at", stackTrace.length == 0 ? null : stackTrace[0])
+        .with(
+            "called_from",
+            Arrays.stream(stackTrace)
+                .filter(frame -> frame.getClassName().startsWith(PACKAGE_PREFIX))
+                .limit(MAX_LOGGED_FRAMES)
+                .map(StackTraceElement::toString)
+                .toList())
         .cause(failure)
         .write();
     if (failure instanceof LinkageError || failure instanceof VirtualMachineError) {
