--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -65,6 +65,7 @@
   private final StageCoordinator stageCoordinator;
   private final PeerMesh mesh;
   private final RequestIntake intake;
+  private final StopGate stopGate;
   private final Duration stopTimeout;
   private final Set<CallerConnection> callerConnections = new HashSet<>();
   private final CountDownLatch stopFinished = new CountDownLatch(1);
@@ -110,6 +111,7 @@
     ObservationExchange exchange = new ObservationExchange(loop, mesh, self.name());
     mesh.observationListener(exchange);
     CrashGuard crashGuard = new CrashGuard(loop, control, feed, client, exchange, log);
+    stopGate = new StopGate(loop);
     GatewayComponents components =
         new GatewayComponents(
             loop,
@@ -130,6 +132,7 @@
                 () -> control.peers().size() + 1),
             crashGuard,
             new UpstreamLimits(loop, control, mesh, regions, exchange, log),
+            stopGate,
             settings.value(GatewaySettings.MAX_ANSWER_BYTES),
             metrics,
             log);
@@ -248,6 +251,7 @@
     long stopStartedAt = loop.now();
     loop.execute(
         () -> {
+          stopGate.stop(stopStartedAt + stopTimeout.minus(STOP_MARGIN).toNanos());
           mesh.drain();
           control.unregister();
           loop.after(STOP_ACCEPTING_DELAY, () -> stopAccepting(stopStartedAt));
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -49,6 +49,10 @@
   /** Reason in the log for requests that a planned stop ends. */
   static final String STOP_REASON = "the time-out of the planned stop is over";
 
+  /** Reason in the log for requests that are refused during a planned stop. */
+  private static final String STOP_ADMISSION_REASON =
+      "the answer might not be complete before the planned stop ends";
+
   private static final String STOP_METRIC_REASON = "stopping";
 
   /**
@@ -174,6 +178,10 @@
     components.crashGuard().requestStarted(this);
     Duration untilDeadline = Duration.ofNanos(deadline - components.loop().now());
     timers.add(guard.after(untilDeadline, this::onTimeout));
+    if (!components.stopGate().mayStart(route, deadline)) {
+      refuseForStop();
+      return;
+    }
     if (heldBack()) {
       return;
     }
@@ -394,6 +402,10 @@
       onTimeout();
       return;
     }
+    if (!mayHaveExecuted && !components.stopGate().maySend(route, deadline)) {
+      refuseForStop();
+      return;
+    }
     attemptCount++;
     sent = false;
     upstreamChoice.tried(upstream);
@@ -490,12 +502,14 @@
 
   @Override
   public void onStreamComplete() {
+    components.stopGate().answered(route, startedAt, attemptStartedAt);
     logRequestEnd(GatewayEvent.ANSWERED, "stream complete", 200);
     finish("answered", exchange::endStream);
   }
 
   @Override
   public void onAnswer(int status, HttpFields headers, byte[] body) {
+    components.stopGate().answered(route, startedAt, attemptStartedAt);
     logRequestEnd(GatewayEvent.ANSWERED, "whole answer", status);
     finish(
         status < 400 ? "answered" : "upstream_error", () -> exchange.reply(status, headers, body));
@@ -597,6 +611,10 @@
         });
   }
 
+  private void refuseForStop() {
+    refuse(STOP_ADMISSION_REASON, STOP_METRIC_REASON, STOP_RETRY_AFTER);
+  }
+
   private void refuse(String reason, String metricReason, @Nullable Duration retryAfter) {
     if (requestEnded) {
       return;
