--- a/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
@@ -98,7 +98,7 @@
     this.output =
         new OutputQueue(endPoint, MAX_QUEUED_OUTPUT_BYTES, cause -> loop.dispatch(this::close));
     this.maxHeaderBytes = handler.limits().maxHeaderBytes();
-    this.parser = new HttpParser(assembler, maxHeaderBytes);
+    this.parser = HttpParsers.forRequests(assembler, maxHeaderBytes);
   }
 
   @Override
@@ -218,7 +218,7 @@
     int newLimit = handler.limits().maxHeaderBytes();
     if (newLimit != maxHeaderBytes && parser.isStart()) {
       maxHeaderBytes = newLimit;
-      parser = new HttpParser(assembler, newLimit);
+      parser = HttpParsers.forRequests(assembler, newLimit);
     }
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
@@ -30,6 +30,7 @@
  */
 final class UpstreamConnection extends AbstractConnection {
   private static final int READ_BUFFER_BYTES = 16 << 10;
+  private static final int MAX_HEAD_BYTES = 32 << 10;
   private static final long MAX_QUEUED_OUTPUT_BYTES = 16 << 20;
 
   /** Reads in a row after which other connections of the event loop get their turn. */
@@ -95,7 +96,7 @@
     this.output =
         new OutputQueue(
             endPoint, MAX_QUEUED_OUTPUT_BYTES, cause -> loop.dispatch(() -> failRequest(cause)));
-    this.parser = new HttpParser(new AnswerHandler(), 32 << 10);
+    this.parser = HttpParsers.forAnswers(new AnswerHandler(), MAX_HEAD_BYTES);
   }
 
   private final Callback fillCallback =
--- a/runtime/src/main/java/org/oriolewell/runtime/http/JsonServer.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/http/JsonServer.java
@@ -67,6 +67,8 @@
     server = new Server(threads);
     HttpConfiguration configuration = new HttpConfiguration();
     configuration.setSendServerVersion(false);
+    // Otherwise a bearer token counts as the one of an earlier request if only its case differs.
+    configuration.setHeaderCacheCaseSensitive(true);
     HttpConnectionFactory httpFactory = new HttpConnectionFactory(configuration);
     connector =
         tls == null
--- a/runtime/src/test/java/org/oriolewell/runtime/admin/AdminApiTest.java
+++ b/runtime/src/test/java/org/oriolewell/runtime/admin/AdminApiTest.java
@@ -16,6 +16,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -158,6 +159,15 @@
   }
 
   // Guards against access without a token, right or workspace, and against tokens in the log.
+  /** Guards against a token that is compared without regard to case on a kept connection. */
+  @Test
+  void tokenInOtherCaseIsUnknownOnKeptConnection() throws Exception {
+    assertThat(call("GET", "config", READ_TOKEN, "").status()).isEqualTo(200);
+
+    assertThat(call("GET", "config", READ_TOKEN.toUpperCase(Locale.ROOT), "").status())
+        .isEqualTo(401);
+  }
+
   @Test
   void rightsAreCheckedAndTokensNeverLogged() throws Exception {
     createFirmAndWorkspace();
