--- a/core/src/main/java/org/oriolewell/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/oriolewell/core/stream/EventSplitter.java
@@ -36,18 +36,21 @@
   /** Adds received bytes and returns the events that they complete. */
   public List<Event> add(byte[] bytes) {
     List<Event> events = new ArrayList<>();
-    for (byte b : bytes) {
-      incompleteEvent.write(b);
-      if (b == '\n') {
-        if (lineBytes == 0 && incompleteEvent.size() > 0) {
+    int eventStart = 0;
+    for (int i = 0; i < bytes.length; i++) {
+      if (bytes[i] == '\n') {
+        if (lineBytes == 0) {
+          incompleteEvent.write(bytes, eventStart, i + 1 - eventStart);
           events.add(event(incompleteEvent.toByteArray()));
           incompleteEvent.reset();
+          eventStart = i + 1;
         }
         lineBytes = 0;
-      } else if (b != '\r') {
+      } else if (bytes[i] != '\r') {
         lineBytes++;
       }
     }
+    incompleteEvent.write(bytes, eventStart, bytes.length - eventStart);
     return events;
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/AnswerBody.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/AnswerBody.java
@@ -38,6 +38,11 @@
     bytes.writeBytes(part);
   }
 
+  /** Returns the size of the parts that were appended so far, in bytes. */
+  int size() {
+    return bytes.size();
+  }
+
   /** Returns the parts that were appended so far. */
   byte[] toByteArray() {
     return bytes.toByteArray();
--- a/gateway/src/main/java/org/oriolewell/gateway/BufferedAnswer.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/BufferedAnswer.java
@@ -29,6 +29,11 @@
     body.append(content);
   }
 
+  @Override
+  public long bufferedBytes() {
+    return body.size();
+  }
+
   /** Returns the HTTP status of the answer; 0 before its head was read. */
   int status() {
     return status;
--- a/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
@@ -16,6 +16,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.overload.BufferBudget;
 import org.oriolewell.core.route.CallerLimits;
 import org.oriolewell.runtime.net.EventLoop;
 import org.oriolewell.runtime.net.OutputQueue;
@@ -25,7 +26,7 @@
  * order. The connection keeps reading while a request is in progress, so that a caller that
  * disconnects is noticed at once, even before any byte of the answer was written.
  */
-final class CallerConnection extends AbstractConnection {
+final class CallerConnection extends AbstractConnection implements BufferBudget.Buffer {
   private static final int READ_BUFFER_BYTES = 16 << 10;
 
   /** Bytes of pipelined requests that are read ahead; further ones stay in the kernel's buffer. */
@@ -75,6 +76,7 @@
 
   private final EventLoop loop;
   private final Handler handler;
+  private final AnswerMemory answerMemory;
   private final OutputQueue output;
   private final RequestAssembler assembler = new RequestAssembler();
   private int maxHeaderBytes;
@@ -91,8 +93,14 @@
   private boolean inputEnded;
   private long discardedBytes;
 
-  CallerConnection(EndPoint endPoint, Executor executor, EventLoop loop, Handler handler) {
+  CallerConnection(
+      EndPoint endPoint,
+      Executor executor,
+      EventLoop loop,
+      Handler handler,
+      AnswerMemory answerMemory) {
     super(endPoint, executor);
+    this.answerMemory = answerMemory;
     this.loop = loop;
     this.handler = handler;
     this.output =
@@ -107,6 +115,7 @@
     loop.execute(
         () -> {
           handler.onOpened(this);
+          answerMemory.add(this);
           startIdleTimer();
           read();
         });
@@ -240,6 +249,7 @@
     closed = true;
     stopTimer();
     handler.onClosed(this);
+    answerMemory.remove(this);
     getEndPoint().close();
     CallerExchange currentExchange = exchange;
     if (currentExchange != null) {
@@ -323,11 +333,23 @@
     if (closed) {
       return false;
     }
+    long addedBytes = BufferUtil.remaining(buffers);
     if (!output.write(buffers)) {
       close();
       return false;
     }
-    return true;
+    answerMemory.grown(addedBytes);
+    return !closed;
+  }
+
+  @Override
+  public long bytes() {
+    return output.queuedBytes();
+  }
+
+  @Override
+  public void discard() {
+    close();
   }
 
   /** Ends the current exchange, and reads the next request or closes the connection. */
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -61,6 +61,7 @@
   private final EventLoop loop;
   private final EventLog log;
   private final ControlPlane control;
+  private final AnswerMemory answerMemory;
   private final UpstreamClient client;
   private final StageCoordinator stageCoordinator;
   private final PeerMesh mesh;
@@ -79,7 +80,8 @@
     loop = EventLoop.start("gateway", log, CONNECT_TIMEOUT, Gateway::endProcess);
     Regions regions = Regions.parse(settings.value(GatewaySettings.ZONE_REGIONS));
     RequestDialect dialect = platformAdapter.requestDialect();
-    client = UpstreamClient.create(loop, dialect.attemptIdHeader());
+    answerMemory = new AnswerMemory(settings.value(GatewaySettings.MAX_BUFFERED_BYTES), log);
+    client = UpstreamClient.create(loop, dialect.attemptIdHeader(), answerMemory);
     StoreCaller store =
         StoreCaller.create(
             loop, client, Ipv4SocketAddress.parse(settings.value(GatewaySettings.STORE_ADDRESS)));
@@ -146,6 +148,7 @@
             () -> {
               metrics.setInFlight(intake.inFlight());
               metrics.setOpenExchanges(intake.openExchanges());
+              metrics.setBufferedBytes(answerMemory.bytes());
               metrics.setViewAge(control.ageMillis() / 1000.0);
               metrics.setQuarantined(crashGuard.quarantinedCount());
             });
@@ -182,7 +185,7 @@
       throws IOException {
     return loop.listen(
         UpstreamClient.toInetSocketAddress(Ipv4SocketAddress.parseBindAddress(address)),
-        endPoint -> new CallerConnection(endPoint, loop::execute, loop, handler));
+        endPoint -> new CallerConnection(endPoint, loop::execute, loop, handler, answerMemory));
   }
 
   private void startOnLoop() {
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -83,6 +83,11 @@
       8053,
       Level.INFO,
       "An upstream named another limit of requests a second for all gateways together, or none."),
+  ANSWERS_DISCARDED(
+      8054,
+      Level.WARNING,
+      "The answers in progress take up more memory than upstreams.max_buffered_bytes allows; the"
+          + " largest ones were ended."),
   REQUEST_STEP_FAILED(
       8060, Level.SEVERE, "The processing of a request failed with an exception; it was ended.");
 
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
@@ -18,6 +18,7 @@
   private final Histogram firstByteSeconds;
   private final Gauge inFlight;
   private final Gauge openExchanges;
+  private final Gauge bufferedBytes;
   private final Gauge viewAge;
   private final Gauge quarantinedParts;
 
@@ -58,6 +59,11 @@
             .name("oriolewell_gateway_open_exchanges")
             .help("Requests that were read whole and whose callers wait for the answer's end.")
             .register(registry);
+    bufferedBytes =
+        Gauge.builder()
+            .name("oriolewell_gateway_buffered_bytes")
+            .help("Bytes kept of answers in progress and of output that callers have not read.")
+            .register(registry);
     viewAge =
         Gauge.builder()
             .name("oriolewell_gateway_view_age_seconds")
@@ -105,6 +111,11 @@
     openExchanges.set(exchangeCount);
   }
 
+  /** Sets the number of bytes that are kept of answers in progress. */
+  void setBufferedBytes(long byteCount) {
+    bufferedBytes.set(byteCount);
+  }
+
   /** Sets the number of prompt parts in quarantine. */
   void setQuarantined(int partCount) {
     quarantinedParts.set(partCount);
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewaySettings.java
@@ -107,6 +107,16 @@
           64 << 20,
           "Largest answer, or event of a stream, of an upstream, in bytes.");
 
+  /** Largest sum of the answers in progress. */
+  public static final Setting<Integer> MAX_BUFFERED_BYTES =
+      Setting.integer(
+          "upstreams.max_buffered_bytes",
+          16 << 20,
+          1 << 20,
+          1 << 30,
+          "Largest sum of what is kept of all answers in progress and of output that callers have"
+              + " not read, in bytes.");
+
   /** The settings in the order in which they are listed to operators. */
   public static final SettingsSpec SPEC =
       SettingsSpec.of(
@@ -128,7 +138,8 @@
               RETRY_RATIO,
               RETRY_SLACK,
               RETRY_WINDOW,
-              MAX_ANSWER_BYTES));
+              MAX_ANSWER_BYTES,
+              MAX_BUFFERED_BYTES));
 
   private GatewaySettings() {}
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/GuardedListener.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GuardedListener.java
@@ -28,6 +28,11 @@
     listener.onContent(content);
   }
 
+  @Override
+  public long bufferedBytes() {
+    return listener.bufferedBytes();
+  }
+
   @Override
   public void onComplete() {
     guard.run(listener::onComplete);
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -262,6 +262,11 @@
     }
   }
 
+  @Override
+  public long bufferedBytes() {
+    return body.size() + eventSplitter.incompleteBytes();
+  }
+
   private void forwardEvent(EventSplitter.Event event) {
     if (!answerStream.events().accepts(event.id())) {
       endIncomplete("event " + event.id() + " after event " + answerStream.events().lastId());
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
@@ -26,6 +26,7 @@
   private final EventLoop loop;
   private final Executor executor;
   private final String attemptIdHeader;
+  private final AnswerMemory answerMemory;
   private final Map<String, Pool> poolsByKey = new HashMap<>();
 
   /** A request in progress, which can be canceled. */
@@ -71,9 +72,10 @@
     }
   }
 
-  private UpstreamClient(EventLoop loop, String attemptIdHeader) {
+  private UpstreamClient(EventLoop loop, String attemptIdHeader, AnswerMemory answerMemory) {
     this.loop = loop;
     this.attemptIdHeader = attemptIdHeader;
+    this.answerMemory = answerMemory;
     this.executor = loop::execute;
   }
 
@@ -81,9 +83,10 @@
    * Returns a client that has no open connections.
    *
    * @param attemptIdHeader name of the header that carries the identifier of the answered attempt
+   * @param answerMemory memory of the answers in progress
    */
-  static UpstreamClient create(EventLoop loop, String attemptIdHeader) {
-    return new UpstreamClient(loop, attemptIdHeader);
+  static UpstreamClient create(EventLoop loop, String attemptIdHeader, AnswerMemory answerMemory) {
+    return new UpstreamClient(loop, attemptIdHeader, answerMemory);
   }
 
   /**
@@ -127,7 +130,7 @@
         toInetSocketAddress(address),
         endPoint -> {
           UpstreamConnection connection =
-              new UpstreamConnection(endPoint, executor, loop, pool, attemptIdHeader);
+              new UpstreamConnection(endPoint, executor, loop, pool, attemptIdHeader, answerMemory);
           loop.execute(
               () -> {
                 pool.openCount++;
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
@@ -21,6 +21,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.overload.BufferBudget;
 import org.oriolewell.runtime.net.EventLoop;
 import org.oriolewell.runtime.net.OutputQueue;
 
@@ -28,7 +29,7 @@
  * An HTTP/1.1 connection to an upstream that carries one request at a time. A connection is closed
  * if it received bytes that belong to no request, or if a request was not written completely.
  */
-final class UpstreamConnection extends AbstractConnection {
+final class UpstreamConnection extends AbstractConnection implements BufferBudget.Buffer {
   private static final int READ_BUFFER_BYTES = 16 << 10;
   private static final int MAX_HEAD_BYTES = 32 << 10;
   private static final long MAX_QUEUED_OUTPUT_BYTES = 16 << 20;
@@ -70,6 +71,7 @@
   private final EventLoop loop;
   private final Owner owner;
   private final String attemptIdHeader;
+  private final AnswerMemory answerMemory;
   private final OutputQueue output;
   private final HttpParser parser;
   private final ByteBuffer readBuffer = BufferUtil.allocate(READ_BUFFER_BYTES);
@@ -88,11 +90,17 @@
   private long deliveredBytes;
 
   UpstreamConnection(
-      EndPoint endPoint, Executor executor, EventLoop loop, Owner owner, String attemptIdHeader) {
+      EndPoint endPoint,
+      Executor executor,
+      EventLoop loop,
+      Owner owner,
+      String attemptIdHeader,
+      AnswerMemory answerMemory) {
     super(endPoint, executor);
     this.loop = loop;
     this.owner = owner;
     this.attemptIdHeader = attemptIdHeader;
+    this.answerMemory = answerMemory;
     this.output =
         new OutputQueue(
             endPoint, MAX_QUEUED_OUTPUT_BYTES, cause -> loop.dispatch(() -> failRequest(cause)));
@@ -123,6 +131,7 @@
     loop.execute(
         () -> {
           if (!closed) {
+            answerMemory.add(this);
             fillInterested(fillCallback);
           }
         });
@@ -201,6 +210,7 @@
         receivedBytes += filledBytes;
         parse();
         checkOverhead();
+        answerMemory.grown(filledBytes);
       }
     } catch (IOException | RuntimeException e) {
       failRequest(e);
@@ -246,8 +256,7 @@
   }
 
   private void finishAnswer() {
-    final UpstreamListener completedListener = listener;
-    listener = null;
+    final UpstreamListener completedListener = takeListener();
     answerComplete = false;
     boolean reusable =
         !closeAfterAnswer
@@ -265,9 +274,31 @@
     }
   }
 
-  private void failRequest(Throwable cause) {
-    UpstreamListener failedListener = listener;
+  /** Ends the reading of the answer; returns its receiver, null if no request is in progress. */
+  private @Nullable UpstreamListener takeListener() {
+    UpstreamListener currentListener = listener;
     listener = null;
+    return currentListener;
+  }
+
+  @Override
+  public long bytes() {
+    UpstreamListener receiver = listener;
+    long headBytes = Math.min(receivedBytes - deliveredBytes, MAX_HEAD_BYTES);
+    return receiver == null ? 0 : headBytes + receiver.bufferedBytes();
+  }
+
+  @Override
+  public void discard() {
+    failRequest(
+        new AnswerTooLargeException(
+            "the sum of all answers in progress",
+            answerMemory.maxBytes(),
+            GatewaySettings.MAX_BUFFERED_BYTES.key()));
+  }
+
+  private void failRequest(Throwable cause) {
+    UpstreamListener failedListener = takeListener();
     close();
     if (failedListener != null) {
       failedListener.onFailure(true, cause);
@@ -276,10 +307,11 @@
 
   @Override
   public void close() {
-    listener = null;
+    takeListener();
     if (!closed) {
       closed = true;
       owner.onClosed(this);
+      answerMemory.remove(this);
       getEndPoint().close();
     }
   }
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamListener.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamListener.java
@@ -22,6 +22,11 @@
    */
   void onContent(byte[] content) throws AnswerTooLargeException;
 
+  /** Returns the size of what the listener keeps of the answer, in bytes. */
+  default long bufferedBytes() {
+    return 0;
+  }
+
   /** Called once when the answer was read completely. */
   void onComplete();
 
--- a/gateway/src/test/java/org/oriolewell/gateway/CallerExchangeTest.java
+++ b/gateway/src/test/java/org/oriolewell/gateway/CallerExchangeTest.java
@@ -33,7 +33,10 @@
   @BeforeEach
   void receiveRequest() throws Exception {
     CompletableFuture<CallerExchange> received = new CompletableFuture<>();
-    connection = new CallerConnection(endPoint, loop::execute, loop, handler(received));
+    AnswerMemory answerMemory =
+        new AnswerMemory(1 << 20, EventLog.of("test", InstantSource.system()));
+    connection =
+        new CallerConnection(endPoint, loop::execute, loop, handler(received), answerMemory);
     endPoint.setConnection(connection);
     endPoint.addInput("GET / HTTP/1.1\r\nHost: h.example\r\n\r\n");
     connection.onOpen();
--- a/runtime/src/main/java/org/oriolewell/runtime/net/OutputQueue.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/net/OutputQueue.java
@@ -56,6 +56,11 @@
     return true;
   }
 
+  /** Returns the bytes that are queued or being written. */
+  public synchronized long queuedBytes() {
+    return queuedBytes;
+  }
+
   /** Returns whether no buffer is queued and no write is in progress. */
   public synchronized boolean idle() {
     return queuedBytes == 0 && queuedBuffers.isEmpty();
