--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -254,7 +254,9 @@
     long stopStartedAt = loop.now();
     loop.execute(
         () -> {
-          stopGate.stop(stopStartedAt + stopTimeout.minus(STOP_MARGIN).toNanos());
+          stopGate.stop(
+              stopStartedAt + STOP_ACCEPTING_DELAY.toNanos(),
+              stopStartedAt + stopTimeout.minus(STOP_MARGIN).toNanos());
           mesh.drain();
           control.unregister();
           loop.after(STOP_ACCEPTING_DELAY, () -> stopAccepting(stopStartedAt));
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -178,7 +178,7 @@
     components.crashGuard().requestStarted(this);
     Duration untilDeadline = Duration.ofNanos(deadline - components.loop().now());
     timers.add(guard.after(untilDeadline, this::onTimeout));
-    if (!components.stopGate().mayStart(route, deadline)) {
+    if (!components.stopGate().mayStart(route, startedAt, deadline)) {
       refuseForStop();
       return;
     }
@@ -402,7 +402,7 @@
       onTimeout();
       return;
     }
-    if (!mayHaveExecuted && !components.stopGate().maySend(route, deadline)) {
+    if (!mayHaveExecuted && !components.stopGate().maySend(route, startedAt, deadline)) {
       refuseForStop();
       return;
     }
--- a/gateway/src/main/java/org/oriolewell/gateway/StopGate.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StopGate.java
@@ -23,25 +23,36 @@
   /**
    * Begins a stop.
    *
+   * @param acceptingUntil monotonic time in nanoseconds until which connections are accepted
    * @param endsAt monotonic time in nanoseconds at which open requests are ended
    */
-  void stop(long endsAt) {
-    admission = StopAdmission.endingAt(endsAt);
+  void stop(long acceptingUntil, long endsAt) {
+    admission = StopAdmission.endingAt(acceptingUntil, endsAt);
   }
 
-  /** Returns whether a request that was read can be answered before the stop ends. */
-  boolean mayStart(Route route, long deadline) {
-    return admits(requestTimes, route, deadline);
+  /**
+   * Returns whether a request can be answered before the stop ends.
+   *
+   * @param readAt monotonic time in nanoseconds at which the request was read
+   * @param deadline monotonic time in nanoseconds at which the request ends in any case
+   */
+  boolean mayStart(Route route, long readAt, long deadline) {
+    return admits(requestTimes, route, readAt, deadline);
   }
 
-  /** Returns whether an upstream can answer a request before the stop ends. */
-  boolean maySend(Route route, long deadline) {
-    return admits(attemptTimes, route, deadline);
+  /**
+   * Returns whether an upstream can answer a request before the stop ends.
+   *
+   * @param readAt monotonic time in nanoseconds at which the request was read
+   * @param deadline monotonic time in nanoseconds at which the request ends in any case
+   */
+  boolean maySend(Route route, long readAt, long deadline) {
+    return admits(attemptTimes, route, readAt, deadline);
   }
 
-  private boolean admits(AnswerTimes times, Route route, long deadline) {
+  private boolean admits(AnswerTimes times, Route route, long readAt, long deadline) {
     long now = loop.now();
-    return admission.admits(now, deadline, times.longest(route.name(), now));
+    return admission.admits(now, readAt, deadline, times.recent(route.name(), now));
   }
 
   /**
