--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
@@ -245,8 +245,12 @@
       close();
       return;
     }
-    parser.atEOF();
-    parser.parseNext(BufferUtil.EMPTY_BUFFER);
+    closeAfterAnswer = true;
+    // The parser takes a body for whole whose last chunk is not followed by an empty line.
+    if (parser.getState() != HttpParser.State.TRAILER) {
+      parser.atEOF();
+      parser.parseNext(BufferUtil.EMPTY_BUFFER);
+    }
     if (answerComplete) {
       finishAnswer();
     } else {
