--- a/core/src/test/java/org/oriolewell/core/overload/BufferBudgetReplayTest.java
+++ b/core/src/test/java/org/oriolewell/core/overload/BufferBudgetReplayTest.java
@@ -48,15 +48,15 @@
 
   /** Plays the answers in random order; the budget decides which ones are discarded. */
   private static Result replay(long seed, BufferBudget budget) {
-    Random random = new Random(seed);
     List<Answer> open = new ArrayList<>();
     List<Answer> all = new ArrayList<>();
-    int soundLeft = SOUND_ANSWERS;
     for (int i = 0; i < FAULTY_ANSWERS; i++) {
       open.add(new Answer(true, MAX_ANSWER_BYTES));
     }
     open.forEach(budget::add);
     all.addAll(open);
+    Random random = new Random(seed);
+    int soundLeft = SOUND_ANSWERS;
     long mostBytes = 0;
     while (!open.isEmpty()) {
       if (soundLeft > 0) {
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -78,7 +78,6 @@
       throws IOException {
     log = EventLog.of("gateway", clock);
     loop = EventLoop.start("gateway", log, CONNECT_TIMEOUT, Gateway::endProcess);
-    Regions regions = Regions.parse(settings.value(GatewaySettings.ZONE_REGIONS));
     RequestDialect dialect = platformAdapter.requestDialect();
     answerMemory = new AnswerMemory(settings.value(GatewaySettings.MAX_BUFFERED_BYTES), log);
     client = UpstreamClient.create(loop, dialect.attemptIdHeader(), answerMemory);
@@ -102,6 +101,7 @@
             settings.value(GatewaySettings.SETTLE_TIME),
             clock,
             log);
+    Regions regions = Regions.parse(settings.value(GatewaySettings.ZONE_REGIONS));
     PrometheusRegistry registry = new PrometheusRegistry();
     final GatewayMetrics metrics = GatewayMetrics.register(registry);
     final UpstreamHealth health = UpstreamHealth.create();
