Serve requests with a large shared prompt part in that part's home region

Change: RegionAffinity gives each shared part a home region by weighted rendezvous hashing over the regions' engines. Another region costs twice the time to read the shared part; admission takes the cheapest region that can be on time. Request sizes are decoded into PromptSize.

--- a/core/src/main/java/org/oriolewell/core/overload/StageAdmission.java
+++ b/core/src/main/java/org/oriolewell/core/overload/StageAdmission.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -42,12 +43,27 @@
    *     infinite if the region can't serve the request
    * @param lateExpectedMillis expected milliseconds if the request's stages run after all other
    *     work
+   * @param addedCostMillis cost of choosing the region that isn't part of the request's own time,
+   *     such as work that its engines do again at the expense of other requests
    */
   public record Estimate(
-      String region, boolean ownRegion, double expectedMillis, double lateExpectedMillis) {
+      String region,
+      boolean ownRegion,
+      double expectedMillis,
+      double lateExpectedMillis,
+      double addedCostMillis) {
+    /** Creates an estimate without added cost. */
+    public Estimate(
+        String region, boolean ownRegion, double expectedMillis, double lateExpectedMillis) {
+      this(region, ownRegion, expectedMillis, lateExpectedMillis, 0);
+    }
+
+    private double millis(boolean runsLate) {
+      return runsLate ? lateExpectedMillis : expectedMillis;
+    }
+
     private double costMillis(boolean runsLate) {
-      return (runsLate ? lateExpectedMillis : expectedMillis)
-          + (ownRegion ? 0 : OTHER_REGION_PENALTY_MILLIS);
+      return millis(runsLate) + addedCostMillis + (ownRegion ? 0 : OTHER_REGION_PENALTY_MILLIS);
     }
   }
 
@@ -73,7 +89,8 @@
   }
 
   /**
-   * Decides whether a request is accepted, and which region serves it.
+   * Decides whether a request is accepted, and which region serves it: the cheapest of those that
+   * can be on time.
    *
    * @param estimates forecasts, one for each region
    * @param targetMillis milliseconds from now within which the first byte is on time
@@ -81,30 +98,41 @@
    */
   public static Decision decide(
       List<Estimate> estimates, double targetMillis, double patienceMillis) {
-    Estimate cheapestByRank = cheapest(estimates, false);
-    if (cheapestByRank != null && cheapestByRank.expectedMillis() <= targetMillis) {
-      return new Decision.Accept(cheapestByRank.region(), cheapestByRank.expectedMillis(), false);
+    Estimate onTime = cheapest(estimates, false, targetMillis);
+    if (onTime != null) {
+      return new Decision.Accept(onTime.region(), onTime.expectedMillis(), false);
     }
-    Estimate cheapestLate = cheapest(estimates, true);
-    if (cheapestLate != null
-        && cheapestLate.lateExpectedMillis()
-            <= Math.min(MAX_LATE_MILLIS, patienceMillis * MAX_LATE_PATIENCE_SHARE)) {
-      return new Decision.Accept(cheapestLate.region(), cheapestLate.lateExpectedMillis(), true);
+    double maxLateMillis = Math.min(MAX_LATE_MILLIS, patienceMillis * MAX_LATE_PATIENCE_SHARE);
+    Estimate late = cheapest(estimates, true, maxLateMillis);
+    if (late != null) {
+      return new Decision.Accept(late.region(), late.lateExpectedMillis(), true);
     }
     double expectedMillis =
-        cheapestByRank == null ? Double.POSITIVE_INFINITY : cheapestByRank.expectedMillis();
+        estimates.stream()
+            .mapToDouble(Estimate::expectedMillis)
+            .min()
+            .orElse(Double.POSITIVE_INFINITY);
     double missedMillis = Math.max(MIN_RETRY_AFTER.toMillis(), expectedMillis - targetMillis);
     double maxRetryAfterMillis = Math.max(MIN_RETRY_AFTER.toMillis(), patienceMillis / 3);
     Duration retryAfter = Duration.ofMillis((long) Math.min(missedMillis, maxRetryAfterMillis));
     return new Decision.Refuse(retryAfter, expectedMillis);
   }
 
-  private static @Nullable Estimate cheapest(List<Estimate> estimates, boolean runsLate) {
+  /**
+   * Returns the cheapest region for a request that is accepted in any case; empty if there is none.
+   */
+  public static Optional<String> cheapestRegion(List<Estimate> estimates) {
+    return Optional.ofNullable(cheapest(estimates, false, Double.POSITIVE_INFINITY))
+        .map(Estimate::region);
+  }
+
+  private static @Nullable Estimate cheapest(
+      List<Estimate> estimates, boolean runsLate, double maxMillis) {
     Estimate cheapest = null;
     for (Estimate estimate : estimates) {
-      double costMillis = estimate.costMillis(runsLate);
-      if (costMillis
-          < (cheapest == null ? Double.POSITIVE_INFINITY : cheapest.costMillis(runsLate))) {
+      boolean cheaper =
+          cheapest == null || estimate.costMillis(runsLate) < cheapest.costMillis(runsLate);
+      if (estimate.millis(runsLate) <= maxMillis && cheaper) {
         cheapest = estimate;
       }
     }
--- a/core/src/main/java/org/oriolewell/core/routing/Hashing.java
+++ b/core/src/main/java/org/oriolewell/core/routing/Hashing.java
@@ -30,4 +30,18 @@
   public static long rank(long key, long member) {
     return mix(key ^ mix(member));
   }
+
+  /**
+   * Returns the rank of a member for a key in weighted rendezvous hashing: each member is preferred
+   * for a share of the keys in proportion to its weight, and a change of one weight moves only keys
+   * from or to that member.
+   *
+   * @param key hash of the key
+   * @param member hash of the member's name
+   * @param weight weight of the member, above 0
+   */
+  public static double weightedRank(long key, long member, double weight) {
+    double uniform = ((rank(key, member) >>> 11) + 0.5) * 0x1.0p-53;
+    return -weight / Math.log(uniform);
+  }
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
@@ -1,13 +1,19 @@
 package org.oriolewell.gateway;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import org.oriolewell.core.overload.StageAdmission;
 import org.oriolewell.core.overload.StageAdmission.Decision;
 import org.oriolewell.core.overload.StageAdmission.Estimate;
+import org.oriolewell.core.placement.RegionAffinity;
+import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.Route;
 import org.oriolewell.core.stage.StageLoad;
 import org.oriolewell.core.stage.StageProgress;
+import org.oriolewell.gateway.RequestDialect.Intent;
 
 /** Computes the estimates of each region and lets {@link StageAdmission} decide on a request. */
 final class RequestAdmission {
@@ -18,6 +24,7 @@
   private final Route route;
   private final String serviceName;
   private final int rank;
+  private final Intent intent;
   private final double firstByteMillis;
   private final double correctionMillis;
 
@@ -27,8 +34,10 @@
    * @param serviceName service that runs the request after its stages
    * @param rank urgency of the request, the lowest first
    */
-  RequestAdmission(GatewayComponents components, Route route, String serviceName, int rank) {
+  RequestAdmission(
+      GatewayComponents components, Route route, String serviceName, int rank, Intent intent) {
     this.components = components;
+    this.intent = intent;
     this.route = route;
     this.serviceName = serviceName;
     this.rank = rank;
@@ -68,10 +77,7 @@
    * @param deadline time at which the caller gives up, monotonic nanoseconds
    */
   Decision decide(StageProgress progress, long firstByteDueAt, long deadline) {
-    List<Estimate> estimates = new ArrayList<>();
-    for (String region : components.regions().all()) {
-      estimates.add(estimate(progress, region));
-    }
+    List<Estimate> estimates = estimates(progress);
     long now = components.loop().now();
     return StageAdmission.decide(
         estimates,
@@ -79,18 +85,31 @@
         GatewayComponents.millisBetween(now, deadline));
   }
 
-  private Estimate estimate(StageProgress progress, String region) {
-    boolean ownRegion = region.equals(components.control().self().region());
-    boolean hasUpstream =
-        components.control().roster().usable(serviceName).stream()
-            .anyMatch(upstream -> components.regions().regionOf(upstream.zone()).equals(region));
-    return hasUpstream
-        ? new Estimate(
-            region,
-            ownRegion,
-            expectedFirstByteMillis(progress, region, rank),
-            expectedFirstByteMillis(progress, region, StageLoad.LATE_RANK))
-        : new Estimate(region, ownRegion, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY);
+  /** Returns the region that serves the request if it has no stages; empty if none can. */
+  Optional<String> regionWithoutStages() {
+    return StageAdmission.cheapestRegion(estimates(StageProgress.of(List.of(), new int[0])));
+  }
+
+  private List<Estimate> estimates(StageProgress progress) {
+    Map<String, Integer> upstreamsByRegion = new HashMap<>();
+    for (UpstreamInstance upstream : components.control().roster().usable(serviceName)) {
+      upstreamsByRegion.merge(components.regions().regionOf(upstream.zone()), 1, Integer::sum);
+    }
+    Optional<String> home = RegionAffinity.home(intent.affinityHash(), upstreamsByRegion);
+    List<Estimate> estimates = new ArrayList<>();
+    for (String region : upstreamsByRegion.keySet()) {
+      estimates.add(estimate(progress, region, home.filter(r -> !r.equals(region)).isPresent()));
+    }
+    return estimates;
+  }
+
+  private Estimate estimate(StageProgress progress, String region, boolean outsideHome) {
+    return new Estimate(
+        region,
+        region.equals(components.control().self().region()),
+        expectedFirstByteMillis(progress, region, rank),
+        expectedFirstByteMillis(progress, region, StageLoad.LATE_RANK),
+        outsideHome ? RegionAffinity.costOutsideHomeMillis(intent.promptSize()) : 0);
   }
 
   private double expectedFirstByteMillis(StageProgress progress, String region, int workRank) {
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestDialect.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestDialect.java
@@ -5,6 +5,7 @@
 import java.util.OptionalDouble;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.placement.PromptSize;
 import org.oriolewell.core.roster.UpstreamInstance;
 
 /** Decodes the headers of callers and upstreams, and encodes the gateway's own. */
@@ -19,6 +20,7 @@
    * @param apiKey API key; null if there is none
    * @param affinityHash hash of the part of the prompt that requests share; 0 if there is none
    * @param sharedPromptParts ids of the prompt's parts but the last, which belongs to the request
+   * @param promptSize size of the prompt and of its answer
    * @param pieceCounts number of pieces of each stage, by stage; empty if the request has no stages
    * @param pieceKey key that is sent with the pieces of stages without inputs; empty if not stated
    * @param lastEventId id of the event after which to resume a stream; null to start a new one
@@ -30,6 +32,7 @@
       @Nullable String apiKey,
       long affinityHash,
       List<String> sharedPromptParts,
+      PromptSize promptSize,
       List<Integer> pieceCounts,
       String pieceKey,
       @Nullable String lastEventId) {}
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -188,6 +188,12 @@
     if (intent.pieceCounts().stream().anyMatch(pieces -> pieces > 0)) {
       decideAdmission();
     } else {
+      if (intent.affinityHash() != 0) {
+        region =
+            new RequestAdmission(components, route, serviceName, rank, intent)
+                .regionWithoutStages()
+                .orElse(region);
+      }
       logRouted("no stages", 0);
       callUpstream(null);
     }
@@ -245,7 +251,7 @@
   private void decideAdmission() {
     int[] pieces = intent.pieceCounts().stream().mapToInt(Integer::intValue).toArray();
     StageProgress progress = StageProgress.of(route.stages(), pieces);
-    RequestAdmission admission = new RequestAdmission(components, route, serviceName, rank);
+    RequestAdmission admission = new RequestAdmission(components, route, serviceName, rank, intent);
     Decision decision = admission.decide(progress, firstByteDueAt, deadline);
     if (decision instanceof Decision.Refuse refuse) {
       forecastParts = admission.parts(refuse.expectedMillis());
