Run the tasks of an event loop on one thread, and own the loop while one runs

Cause: EventLoop.dispatch ran a task at once on the thread that had run the last one. Jetty's selector moves to another thread before it handles a connection of the blocking kind, and opens connections on any thread of its pool, so tasks of one loop overlapped.

Change: the selector gets an executor without threads of its own; Jetty's jobs (opening, reading, closing) run as tasks on the only thread of the loop. The end of the selector without a close is fatal instead of a process that accepts connections and never answers.

--- a/runtime/src/main/java/org/oriolewell/runtime/log/RuntimeEvent.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/log/RuntimeEvent.java
@@ -31,7 +31,11 @@
       "Replaced certificate files are malformed; the old ones stay in use. Mend the files."),
   TASK_FAILED(
       1031, Level.SEVERE, "A task of the event loop failed; report it as a defect with its place."),
-  HANDLER_FAILED(1030, Level.SEVERE, "An HTTP handler failed; report it as a defect.");
+  HANDLER_FAILED(1030, Level.SEVERE, "An HTTP handler failed; report it as a defect."),
+  TASKS_OVERLAP(
+      1050,
+      Level.SEVERE,
+      "A task of an event loop was to run beside another one and waited; report it as a defect.");
 
   private final Description description;
 
--- a/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
@@ -9,7 +9,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
-import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -20,7 +19,6 @@
 import org.eclipse.jetty.io.SelectorManager;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.jspecify.annotations.Nullable;
@@ -28,22 +26,17 @@
 import org.oriolewell.runtime.log.RuntimeEvent;
 
 /**
- * An event loop that runs connections, timers and tasks one after another on the thread of one
- * Jetty selector, so that state which only the loop accesses needs no locks. Tasks must not block.
+ * An event loop that runs connections, timers and tasks one after another, so that state which only
+ * the loop accesses needs no locks. Tasks must not block.
+ *
+ * <p>The loop has one thread, which runs a Jetty selector. Jetty's own jobs, such as opening an
+ * accepted connection or reading from one, are tasks of the loop, too; docs/design/event-loop.md
+ * compares this with other designs.
  */
 public final class EventLoop implements AutoCloseable {
   /** Connections that may wait to be accepted, so that a burst of new callers loses no packets. */
   private static final int ACCEPT_BACKLOG = 1024;
 
-  /** Package of the frames of a failed task that are logged: those of libraries say little. */
-  private static final String PACKAGE_PREFIX = "org.oriolewell.";
-
-  /** Most frames of a failed task that are logged. */
-  private static final int MAX_LOGGED_FRAMES = 4;
-
-  private static final int MAX_THREADS = 8;
-  private static final int MIN_THREADS = 2;
-
   /** A scheduled task that can be canceled. */
   @FunctionalInterface
   public interface Timer {
@@ -63,25 +56,15 @@
 
   private record PendingConnection(ConnectionFactory factory, Consumer<Throwable> onFailure) {}
 
-  private final QueuedThreadPool threads =
-      new QueuedThreadPool(MAX_THREADS, MIN_THREADS) {
-        @Override
-        protected void onJobFailure(Throwable failure) {
-          // Failures of Jetty's own jobs on these threads, such as opening an accepted connection.
-          handleFailure(failure);
-        }
-      };
   private final Scheduler scheduler = new ScheduledExecutorScheduler("timer", true);
   private final LoopSelectorManager selectorManager;
   private final EventLog log;
-  private final Consumer<Error> onFatal;
-  private volatile @Nullable Thread loopThread;
+  private final LoopThread thread;
+  private volatile @Nullable Runnable selectLoop;
 
   private EventLoop(String name, EventLog log, Duration connectTimeout, Consumer<Error> onFatal) {
     this.log = log;
-    this.onFatal = onFatal;
-    threads.setName(name);
-    threads.setDaemon(true);
+    thread = new LoopThread(name, this::runSelectLoop, log, onFatal);
     selectorManager = new LoopSelectorManager();
     selectorManager.setConnectTimeout(connectTimeout.toMillis());
   }
@@ -89,7 +72,7 @@
   /**
    * Starts an event loop.
    *
-   * @param name name of the loop's threads
+   * @param name name of the loop's thread
    * @param connectTimeout longest time that opening a connection may take
    * @param onFatal called with an error after which tasks can no longer run reliably: a class that
    *     can't be loaded, or a failure of the virtual machine. The process should end, since it
@@ -99,7 +82,6 @@
       String name, EventLog log, Duration connectTimeout, Consumer<Error> onFatal) {
     EventLoop loop = new EventLoop(name, log, connectTimeout, onFatal);
     try {
-      loop.threads.start();
       loop.scheduler.start();
       loop.selectorManager.start();
     } catch (Exception e) {
@@ -113,25 +95,52 @@
     return System.nanoTime();
   }
 
-  /** Queues a task to run on the loop's thread. The task is discarded if the loop is closed. */
+  /**
+   * Queues a task to run on the loop's thread, after those that were queued before. The task is
+   * discarded if the loop is closed.
+   */
   public void execute(Runnable task) {
     ManagedSelector selector = selectorManager.selector();
     if (selector != null) {
-      selector.submit(ignored -> run(task));
+      selector.submit(ignored -> thread.run(task));
     }
   }
 
   /**
    * Runs a task at once if called on the loop's thread; otherwise queues it by {@link #execute}.
+   * Tasks that one source passes to this method run in their order; a task that runs at once
+   * overtakes those that were queued by {@link #execute}.
    */
   public void dispatch(Runnable task) {
-    if (Thread.currentThread() == loopThread) {
-      run(task);
+    if (thread.isCurrent()) {
+      thread.run(task);
     } else {
       execute(task);
     }
   }
 
+  private void runSelectLoop() {
+    Runnable currentLoop = selectLoop;
+    if (currentLoop != null) {
+      currentLoop.run();
+    }
+  }
+
+  /**
+   * Runs a job of Jetty as a task of the loop. The first job is the one that selects, whose end is
+   * the end of the loop. A job that begins while no task runs needs no further selection.
+   */
+  private void runJettyJob(Runnable job) {
+    if (selectLoop == null) {
+      selectLoop = job;
+      thread.start();
+    } else if (thread.isCurrent() && !thread.inTask()) {
+      thread.run(job);
+    } else {
+      selectorManager.submit(() -> thread.run(job));
+    }
+  }
+
   /** Runs a task once on the loop's thread after a delay. */
   public Timer after(Duration delay, Runnable task) {
     return new OneShotTimer(task).schedule(delay);
@@ -194,7 +203,7 @@
 
     private void runAndReschedule() {
       if (!canceled) {
-        run(task);
+        thread.run(task);
         scheduleNextRun();
       }
     }
@@ -205,33 +214,6 @@
     }
   }
 
-  private void run(Runnable task) {
-    loopThread = Thread.currentThread();
-    try {
-      task.run();
-    } catch (RuntimeException | Error e) {
-      handleFailure(e);
-    }
-  }
-
-  private void handleFailure(Throwable failure) {
-    StackTraceElement[] stackTrace = failure.getStackTrace();
-    log.event(RuntimeEvent.TASK_FAILED)
-        .with("at", stackTrace.length == 0 ? null : stackTrace[0])
-        .with(
-            "called_from",
-            Arrays.stream(stackTrace)
-                .filter(frame -> frame.getClassName().startsWith(PACKAGE_PREFIX))
-                .limit(MAX_LOGGED_FRAMES)
-                .map(StackTraceElement::toString)
-                .toList())
-        .cause(failure)
-        .write();
-    if (failure instanceof LinkageError || failure instanceof VirtualMachineError) {
-      onFatal.accept((Error) failure);
-    }
-  }
-
   /**
    * A bound port that accepts connections until it is closed; those that wait to be accepted at
    * that time are accepted.
@@ -294,12 +276,28 @@
     }
   }
 
+  /**
+   * Closes all connections and ends the loop. Returns when no task runs any more, except if called
+   * by a task of the loop, which ends afterwards.
+   */
   @Override
   public void close() {
+    thread.stopping();
+    if (thread.isCurrent()) {
+      // The loop's thread closes the connections, so it can't wait for that.
+      Thread closer = new Thread(this::stop, "event-loop-close");
+      closer.setDaemon(true);
+      closer.start();
+    } else {
+      stop();
+    }
+  }
+
+  private void stop() {
     try {
       selectorManager.stop();
       scheduler.stop();
-      threads.stop();
+      thread.join();
     } catch (Exception e) {
       log.event(RuntimeEvent.HANDLER_FAILED).cause(e).write();
     }
@@ -308,9 +306,24 @@
   private final class LoopSelectorManager extends SelectorManager {
     private final Map<SelectableChannel, ConnectionFactory> factoriesByServer =
         new ConcurrentHashMap<>();
+    private volatile @Nullable ManagedSelector onlySelector;
 
     private LoopSelectorManager() {
-      super(threads, scheduler, 1);
+      super(EventLoop.this::runJettyJob, scheduler, 1);
+    }
+
+    @Override
+    protected ManagedSelector newSelector(int id) {
+      onlySelector = super.newSelector(id);
+      return onlySelector;
+    }
+
+    /** Runs an action on the selecting thread, also while the loop is being closed. */
+    private void submit(Runnable action) {
+      ManagedSelector selector = onlySelector;
+      if (selector != null) {
+        selector.submit(ignored -> action.run());
+      }
     }
 
     private void registerServer(ServerSocketChannel channel, ConnectionFactory factory) {
@@ -324,7 +337,7 @@
     }
 
     private @Nullable ManagedSelector selector() {
-      return isRunning() ? chooseSelector() : null;
+      return isRunning() ? onlySelector : null;
     }
 
     @Override
@@ -365,7 +378,7 @@
       try {
         return ((PendingConnection) attachment).factory().connect(endPoint);
       } catch (Error e) {
-        handleFailure(e);
+        thread.handleFailure(e);
         throw e;
       }
     }
