Keep requests in the allowed regions of their route and workspace

Cause: the gateway ignored the field allowed_regions of routes and tenants, so such requests reached upstreams of any region.

Change: the field is decoded into AllowedRegions, kept in Route and Workspace, and applied to the choice of the region, of each attempt's upstream, of the engine's zone and of Retry-After. A request without a permitted upstream is refused at once with 503. An invalid value names no region and never widens the restriction.

--- a/core/src/main/java/org/oriolewell/core/route/Route.java
+++ b/core/src/main/java/org/oriolewell/core/route/Route.java
@@ -21,6 +21,7 @@
  * @param anonymous whether requests need no API key
  * @param resumable whether another upstream may continue a stream
  * @param eventGapTarget target for the longest time between two events of a stream
+ * @param allowedRegions regions in which the route's requests may be served
  */
 public record Route(
     String name,
@@ -35,7 +36,8 @@
     List<StageSpec> stages,
     boolean anonymous,
     boolean resumable,
-    Duration eventGapTarget) {
+    Duration eventGapTarget,
+    AllowedRegions allowedRegions) {
 
   /**
    * A service that receives a share of a route's traffic.
@@ -59,6 +61,38 @@
     checkStages(name, stages);
   }
 
+  /** Creates a route whose requests may be served in all regions. */
+  public Route(
+      String name,
+      String host,
+      String prefix,
+      RequestKind kind,
+      Duration timeout,
+      Duration latencyTarget,
+      int priority,
+      int maxAttempts,
+      List<Target> targets,
+      List<StageSpec> stages,
+      boolean anonymous,
+      boolean resumable,
+      Duration eventGapTarget) {
+    this(
+        name,
+        host,
+        prefix,
+        kind,
+        timeout,
+        latencyTarget,
+        priority,
+        maxAttempts,
+        targets,
+        stages,
+        anonymous,
+        resumable,
+        eventGapTarget,
+        AllowedRegions.ALL);
+  }
+
   private static void checkStages(String route, List<StageSpec> stages) {
     if (stages.size() > MAX_STAGES) {
       throw new IllegalArgumentException(
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
@@ -5,6 +5,7 @@
 import org.oriolewell.core.overload.StageAdmission;
 import org.oriolewell.core.overload.StageAdmission.Decision;
 import org.oriolewell.core.overload.StageAdmission.Estimate;
+import org.oriolewell.core.route.AllowedRegions;
 import org.oriolewell.core.route.Route;
 import org.oriolewell.core.stage.StageLoad;
 import org.oriolewell.core.stage.StageProgress;
@@ -18,6 +19,7 @@
   private final Route route;
   private final String serviceName;
   private final int rank;
+  private final AllowedRegions allowedRegions;
   private final double firstByteMillis;
   private final double correctionMillis;
 
@@ -26,12 +28,19 @@
    *
    * @param serviceName service that runs the request after its stages
    * @param rank urgency of the request, the lowest first
+   * @param allowedRegions regions in which the request may be served
    */
-  RequestAdmission(GatewayComponents components, Route route, String serviceName, int rank) {
+  RequestAdmission(
+      GatewayComponents components,
+      Route route,
+      String serviceName,
+      int rank,
+      AllowedRegions allowedRegions) {
     this.components = components;
     this.route = route;
     this.serviceName = serviceName;
     this.rank = rank;
+    this.allowedRegions = allowedRegions;
     long now = components.loop().now();
     this.firstByteMillis = components.firstByteTimes().expectedMillis(route.name(), now);
     this.correctionMillis = components.forecastBias().correctionMillis(route.name(), now);
@@ -70,7 +79,9 @@
   Decision decide(StageProgress progress, long firstByteDueAt, long deadline) {
     List<Estimate> estimates = new ArrayList<>();
     for (String region : components.regions().all()) {
-      estimates.add(estimate(progress, region));
+      if (allowedRegions.permits(region)) {
+        estimates.add(estimate(progress, region));
+      }
     }
     long now = components.loop().now();
     return StageAdmission.decide(
@@ -81,10 +92,10 @@
 
   private Estimate estimate(StageProgress progress, String region) {
     boolean ownRegion = region.equals(components.control().self().region());
-    boolean hasUpstream =
-        components.control().roster().usable(serviceName).stream()
-            .anyMatch(upstream -> components.regions().regionOf(upstream.zone()).equals(region));
-    return hasUpstream
+    boolean canServe =
+        hasUpstream(serviceName, region)
+            && (!allowedRegions.restricted() || hasStageUpstreams(progress, region));
+    return canServe
         ? new Estimate(
             region,
             ownRegion,
@@ -93,6 +104,16 @@
         : new Estimate(region, ownRegion, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY);
   }
 
+  private boolean hasUpstream(String service, String region) {
+    return components.control().roster().usable(service).stream()
+        .anyMatch(upstream -> components.regions().regionOf(upstream.zone()).equals(region));
+  }
+
+  private boolean hasStageUpstreams(StageProgress progress, String region) {
+    return route.stages().stream()
+        .allMatch(stage -> progress.isDone(stage.index()) || hasUpstream(stage.service(), region));
+  }
+
   private double expectedFirstByteMillis(StageProgress progress, String region, int workRank) {
     return progress.remainingMillis(
             (stage, offset) ->
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -12,6 +12,7 @@
 import org.oriolewell.core.quarantine.CrashSubject;
 import org.oriolewell.core.retry.SilenceLimit;
 import org.oriolewell.core.roster.UpstreamInstance;
+import org.oriolewell.core.route.AllowedRegions;
 import org.oriolewell.core.route.RequestKind;
 import org.oriolewell.core.route.Route;
 import org.oriolewell.core.route.RouteTable;
@@ -81,6 +82,7 @@
   private final long deadline;
   private int rank;
   private final String serviceName;
+  private final AllowedRegions allowedRegions;
   private final UpstreamChoice upstreamChoice;
   private final CrashSubjects crashSubjects;
 
@@ -155,12 +157,17 @@
             intent.host(),
             workspace == null ? "" : workspace.name(),
             intent.sharedPromptParts());
+    this.allowedRegions =
+        workspace == null
+            ? route.allowedRegions()
+            : route.allowedRegions().and(workspace.allowedRegions());
     this.upstreamChoice =
         new UpstreamChoice(
             components,
             serviceName,
             table.service(serviceName).map(ServiceSpec::engine).orElse(false),
-            intent.affinityHash() == 0 ? requestId().hashCode() : intent.affinityHash());
+            intent.affinityHash() == 0 ? requestId().hashCode() : intent.affinityHash(),
+            allowedRegions);
   }
 
   private String requestId() {
@@ -182,6 +189,10 @@
       refuseForStop();
       return;
     }
+    if (allowedRegions.restricted() && !upstreamChoice.anyPermitted()) {
+      refuseWithoutUpstream();
+      return;
+    }
     if (heldBack()) {
       return;
     }
@@ -245,7 +256,8 @@
   private void decideAdmission() {
     int[] pieces = intent.pieceCounts().stream().mapToInt(Integer::intValue).toArray();
     StageProgress progress = StageProgress.of(route.stages(), pieces);
-    RequestAdmission admission = new RequestAdmission(components, route, serviceName, rank);
+    RequestAdmission admission =
+        new RequestAdmission(components, route, serviceName, rank, allowedRegions);
     Decision decision = admission.decide(progress, firstByteDueAt, deadline);
     if (decision instanceof Decision.Refuse refuse) {
       forecastParts = admission.parts(refuse.expectedMillis());
@@ -388,7 +400,8 @@
           "upstream limit",
           retryAfter);
     } else {
-      refuse("no upstream of " + serviceName, "no upstream", NO_UPSTREAM_RETRY_AFTER);
+      String where = allowedRegions.restricted() ? " in the allowed regions" : "";
+      refuse("no upstream of " + serviceName + where, "no upstream", NO_UPSTREAM_RETRY_AFTER);
     }
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamChoice.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamChoice.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.oriolewell.core.roster.UpstreamInstance;
+import org.oriolewell.core.route.AllowedRegions;
 
 /** Chooses the upstreams of one request, one attempt after the other. */
 final class UpstreamChoice {
@@ -24,6 +25,7 @@
   private final String serviceName;
   private final boolean engines;
   private final long affinity;
+  private final AllowedRegions allowedRegions;
   private final Set<String> triedUpstreams = new HashSet<>();
 
   /** Limited upstreams for which the request was refused a permit. */
@@ -34,12 +36,19 @@
    *
    * @param engines whether the service consists of model engines
    * @param affinity hash of the part of the prompt that an engine may have in its cache
+   * @param allowedRegions regions in which the request may be served
    */
-  UpstreamChoice(GatewayComponents components, String serviceName, boolean engines, long affinity) {
+  UpstreamChoice(
+      GatewayComponents components,
+      String serviceName,
+      boolean engines,
+      long affinity,
+      AllowedRegions allowedRegions) {
     this.components = components;
     this.serviceName = serviceName;
     this.engines = engines;
     this.affinity = affinity;
+    this.allowedRegions = allowedRegions;
   }
 
   /** Records that the request is sent to an upstream, which isn't chosen again. */
@@ -83,7 +92,7 @@
 
   /** Returns the shortest time until a limited upstream may grant a permit; empty if none does. */
   Optional<Duration> shortestBlock(int rank) {
-    return components.control().roster().usable(serviceName).stream()
+    return permittedUpstreams().stream()
         .map(upstream -> components.upstreamLimits().blockedTime(upstream, rank))
         .filter(time -> !time.isZero())
         .min(Comparator.naturalOrder());
@@ -94,8 +103,23 @@
         && components.upstreamLimits().blockedTime(upstream, rank).isZero();
   }
 
-  private List<UpstreamInstance> usableUpstreams(Predicate<UpstreamInstance> condition) {
+  /** Returns whether the rules of the request allow any upstream of the service. */
+  boolean anyPermitted() {
+    return !permittedUpstreams().isEmpty();
+  }
+
+  private List<UpstreamInstance> permittedUpstreams() {
     List<UpstreamInstance> usable = components.control().roster().usable(serviceName);
+    return allowedRegions.restricted()
+        ? usable.stream()
+            .filter(
+                upstream -> allowedRegions.permits(components.regions().regionOf(upstream.zone())))
+            .toList()
+        : usable;
+  }
+
+  private List<UpstreamInstance> usableUpstreams(Predicate<UpstreamInstance> condition) {
+    List<UpstreamInstance> usable = permittedUpstreams();
     return components.upstreamLimits().anyLimited()
         ? usable.stream().filter(condition).toList()
         : usable;
