--- a/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
@@ -10,6 +10,7 @@
 import org.oriolewell.core.overload.StageAdmission.Estimate;
 import org.oriolewell.core.placement.RegionAffinity;
 import org.oriolewell.core.roster.UpstreamInstance;
+import org.oriolewell.core.route.AllowedRegions;
 import org.oriolewell.core.route.Route;
 import org.oriolewell.core.stage.StageLoad;
 import org.oriolewell.core.stage.StageProgress;
@@ -25,6 +26,7 @@
   private final String serviceName;
   private final int rank;
   private final Intent intent;
+  private final AllowedRegions allowedRegions;
   private final double firstByteMillis;
   private final double correctionMillis;
 
@@ -33,14 +35,21 @@
    *
    * @param serviceName service that runs the request after its stages
    * @param rank urgency of the request, the lowest first
+   * @param allowedRegions regions in which the request may be served
    */
   RequestAdmission(
-      GatewayComponents components, Route route, String serviceName, int rank, Intent intent) {
+      GatewayComponents components,
+      Route route,
+      String serviceName,
+      int rank,
+      Intent intent,
+      AllowedRegions allowedRegions) {
     this.components = components;
     this.intent = intent;
     this.route = route;
     this.serviceName = serviceName;
     this.rank = rank;
+    this.allowedRegions = allowedRegions;
     long now = components.loop().now();
     this.firstByteMillis = components.firstByteTimes().expectedMillis(route.name(), now);
     this.correctionMillis = components.forecastBias().correctionMillis(route.name(), now);
@@ -87,18 +96,24 @@
 
   /** Returns the region that serves the request if it has no stages; empty if none can. */
   Optional<String> regionWithoutStages() {
-    return StageAdmission.cheapestRegion(estimates(StageProgress.of(List.of(), new int[0])));
+    int[] noPieces = new int[route.stages().size()];
+    return StageAdmission.cheapestRegion(estimates(StageProgress.of(route.stages(), noPieces)));
   }
 
   private List<Estimate> estimates(StageProgress progress) {
     Map<String, Integer> upstreamsByRegion = new HashMap<>();
     for (UpstreamInstance upstream : components.control().roster().usable(serviceName)) {
-      upstreamsByRegion.merge(components.regions().regionOf(upstream.zone()), 1, Integer::sum);
+      String region = components.regions().regionOf(upstream.zone());
+      if (allowedRegions.permits(region)) {
+        upstreamsByRegion.merge(region, 1, Integer::sum);
+      }
     }
     Optional<String> home = RegionAffinity.home(intent.affinityHash(), upstreamsByRegion);
     List<Estimate> estimates = new ArrayList<>();
     for (String region : upstreamsByRegion.keySet()) {
-      estimates.add(estimate(progress, region, home.filter(r -> !r.equals(region)).isPresent()));
+      if (!allowedRegions.restricted() || hasStageUpstreams(progress, region)) {
+        estimates.add(estimate(progress, region, home.filter(r -> !r.equals(region)).isPresent()));
+      }
     }
     return estimates;
   }
@@ -112,6 +127,16 @@
         outsideHome ? RegionAffinity.costOutsideHomeMillis(intent.promptSize()) : 0);
   }
 
+  private boolean hasUpstream(String service, String region) {
+    return components.control().roster().usable(service).stream()
+        .anyMatch(upstream -> components.regions().regionOf(upstream.zone()).equals(region));
+  }
+
+  private boolean hasStageUpstreams(StageProgress progress, String region) {
+    return route.stages().stream()
+        .allMatch(stage -> progress.isDone(stage.index()) || hasUpstream(stage.service(), region));
+  }
+
   private double expectedFirstByteMillis(StageProgress progress, String region, int workRank) {
     return progress.remainingMillis(
             (stage, offset) ->
