Choose engines by their learned speed

Change: each gateway learns the speed of an engine from the gaps between the events of its streams, as a low quantile of group means over the last seconds, in levels with hysteresis. Placement uses weighted rendezvous hashing with the speed to the power of 1.5 as weight, and the bound on an engine's requests is in proportion to its speed. placement.learn_capacity switches it off. With equal or unknown speeds the choice is the same as before.

--- /dev/null
+++ b/core/src/main/java/org/oriolewell/core/placement/EngineRanking.java
@@ -0,0 +1,98 @@
+package org.oriolewell.core.placement;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.OptionalInt;
+import org.oriolewell.core.capacity.SpeedLevel;
+import org.oriolewell.core.placement.Placement.SpeedSource;
+import org.oriolewell.core.roster.UpstreamInstance;
+import org.oriolewell.core.routing.Hashing;
+
+/**
+ * Chooses among engines by weighted rendezvous hashing with bounded load: an engine is first for a
+ * share of the prefixes that is proportional to its weight, and a change of one weight moves only
+ * prefixes to or from that engine. With equal weights the choice is that of plain rendezvous
+ * hashing.
+ */
+final class EngineRanking {
+  /**
+   * Multiple of the mean number of requests that an engine of the mean speed may have and still be
+   * preferred.
+   */
+  private static final double MAX_LOAD_RATIO = 1.5;
+
+  /** Requests added to the bound on an engine's load, so that low load never breaks affinity. */
+  private static final int ALLOWED_EXTRA_REQUESTS = 4;
+
+  private static final int HASH_BITS_DROPPED = 11;
+  private static final double HASH_UNIT = 0x1p-53;
+
+  private final List<UpstreamInstance> engines;
+  private final double[] speedRatios;
+  private final double[] weights;
+
+  private EngineRanking(List<UpstreamInstance> engines, double[] speedRatios, double[] weights) {
+    this.engines = engines;
+    this.speedRatios = speedRatios;
+    this.weights = weights;
+  }
+
+  /** Returns the ranking of some engines; one of unknown speed counts as one of median speed. */
+  static EngineRanking of(List<UpstreamInstance> engines, SpeedSource speeds, long now) {
+    OptionalInt[] levels = new OptionalInt[engines.size()];
+    int[] knownLevels = new int[engines.size()];
+    int known = 0;
+    for (int i = 0; i < levels.length; i++) {
+      levels[i] = speeds.level(engines.get(i).id(), now);
+      if (levels[i].isPresent()) {
+        knownLevels[known++] = levels[i].getAsInt();
+      }
+    }
+    int median = SpeedLevel.median(Arrays.copyOf(knownLevels, known)).orElse(0);
+    double[] speedRatios = new double[levels.length];
+    double[] weights = new double[levels.length];
+    for (int i = 0; i < levels.length; i++) {
+      int level = levels[i].orElse(median);
+      speedRatios[i] = SpeedLevel.ratio(level, median);
+      weights[i] = SpeedLevel.weight(level, median);
+    }
+    return new EngineRanking(engines, speedRatios, weights);
+  }
+
+  /** Returns the first engine for a prefix whose load is within its bound; the first if none is. */
+  UpstreamInstance choose(long prefixHash, UpstreamHealth health) {
+    double totalInFlight = 0;
+    double totalSpeed = 0;
+    int[] inFlight = new int[engines.size()];
+    for (int i = 0; i < inFlight.length; i++) {
+      inFlight[i] = health.inFlight(engines.get(i).id());
+      totalInFlight += inFlight[i];
+      totalSpeed += speedRatios[i];
+    }
+    double maxPerSpeed = totalInFlight / totalSpeed * MAX_LOAD_RATIO;
+    int first = 0;
+    int firstWithinBound = -1;
+    double lowestCost = Double.POSITIVE_INFINITY;
+    double lowestCostWithinBound = Double.POSITIVE_INFINITY;
+    for (int i = 0; i < inFlight.length; i++) {
+      double cost = cost(prefixHash, i);
+      if (cost < lowestCost) {
+        first = i;
+        lowestCost = cost;
+      }
+      boolean withinBound = inFlight[i] <= maxPerSpeed * speedRatios[i] + ALLOWED_EXTRA_REQUESTS;
+      if (withinBound && cost < lowestCostWithinBound) {
+        firstWithinBound = i;
+        lowestCostWithinBound = cost;
+      }
+    }
+    return engines.get(firstWithinBound >= 0 ? firstWithinBound : first);
+  }
+
+  /** Returns an exponentially distributed value with the engine's weight as rate. */
+  private double cost(long prefixHash, int engine) {
+    long rank = Hashing.rank(prefixHash, Hashing.of(engines.get(engine).id()));
+    double uniform = (((rank ^ Long.MIN_VALUE) >>> HASH_BITS_DROPPED) + 0.5) * HASH_UNIT;
+    return -Math.log(uniform) / weights[engine];
+  }
+}
--- a/core/src/main/java/org/oriolewell/core/placement/Placement.java
+++ b/core/src/main/java/org/oriolewell/core/placement/Placement.java
@@ -1,41 +1,48 @@
 package org.oriolewell.core.placement;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.oriolewell.core.capacity.SpeedLevel;
 import org.oriolewell.core.roster.UpstreamInstance;
-import org.oriolewell.core.routing.Hashing;
 
 /**
  * Chooses an upstream for a request.
  *
  * <p>A service without model engines: the healthy upstream with the lowest sum of load, distance
  * and recent failures. Model engines: the one that most probably caches the prompt prefix, by
- * rendezvous hashing of the prefix with bounded load. Processing a prefix again that another engine
- * has cached delays the tokens of all requests of the engine.
+ * weighted rendezvous hashing of the prefix with bounded load. Processing a prefix again that
+ * another engine has cached delays the tokens of all requests of the engine.
  */
 public final class Placement {
-  /** Multiple of the mean number of requests that an engine may have and still be preferred. */
-  private static final double MAX_LOAD_RATIO = 1.5;
-
-  /** Requests added to the bound on an engine's load, so that low load never breaks affinity. */
-  private static final int ALLOWED_EXTRA_REQUESTS = 4;
-
   private final UpstreamHealth health;
+  private final SpeedSource speeds;
   private final RandomGenerator random;
 
-  private Placement(UpstreamHealth health, RandomGenerator random) {
+  private Placement(UpstreamHealth health, SpeedSource speeds, RandomGenerator random) {
     this.health = health;
+    this.speeds = speeds;
     this.random = random;
   }
 
-  /** Returns a placement that uses a gateway's observations of its upstreams. */
+  /** Returns a placement that uses a gateway's observations and takes all engines as equal. */
   public static Placement of(UpstreamHealth health, RandomGenerator random) {
-    return new Placement(health, random);
+    return new Placement(health, (upstreamId, now) -> OptionalInt.empty(), random);
+  }
+
+  /** Returns a placement that uses a gateway's observations and the learned speeds of engines. */
+  public static Placement of(UpstreamHealth health, SpeedSource speeds, RandomGenerator random) {
+    return new Placement(health, speeds, random);
+  }
+
+  /** Tells the learned speeds of upstreams. */
+  @FunctionalInterface
+  public interface SpeedSource {
+    /** Returns the level of an upstream's speed, see {@link SpeedLevel}; empty if unknown. */
+    OptionalInt level(String upstreamId, long now);
   }
 
   /**
@@ -95,18 +102,7 @@
     if (healthy.isEmpty()) {
       return Optional.empty();
     }
-    double meanInFlight =
-        healthy.stream().mapToInt(engine -> health.inFlight(engine.id())).average().orElse(0);
-    double maxInFlight = meanInFlight * MAX_LOAD_RATIO + ALLOWED_EXTRA_REQUESTS;
-    List<UpstreamInstance> byHashRank = new ArrayList<>(healthy);
-    byHashRank.sort(
-        Comparator.comparingLong(
-                (UpstreamInstance engine) -> Hashing.rank(prefixHash, Hashing.of(engine.id())))
-            .reversed());
-    return byHashRank.stream()
-        .filter(engine -> health.inFlight(engine.id()) <= maxInFlight)
-        .findFirst()
-        .or(() -> Optional.of(byHashRank.get(0)));
+    return Optional.of(EngineRanking.of(healthy, speeds, now).choose(prefixHash, health));
   }
 
   private List<UpstreamInstance> healthy(
--- a/core/src/test/java/org/oriolewell/core/placement/PlacementTest.java
+++ b/core/src/test/java/org/oriolewell/core/placement/PlacementTest.java
@@ -1,14 +1,18 @@
 package org.oriolewell.core.placement;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.oriolewell.core.roster.Ipv4SocketAddress;
 import org.oriolewell.core.roster.UpstreamInstance;
+import org.oriolewell.core.routing.Hashing;
 
 /** Checks affinity by prompt prefix, bounded engine load, and avoidance of failing upstreams. */
 class PlacementTest {
@@ -93,4 +97,30 @@
                 .id())
         .isEqualTo("e1");
   }
+
+  /** Equal shares would give slow engines more work than they can do in time. */
+  @Test
+  void fasterEnginesGetMorePrefixesAndOtherPrefixesStay() {
+    Map<String, OptionalInt> levels =
+        Map.of("e0", OptionalInt.of(-3), "e1", OptionalInt.of(0), "e2", OptionalInt.of(3));
+    Placement weighted =
+        Placement.of(
+            health,
+            (id, now) -> levels.getOrDefault(id, OptionalInt.empty()),
+            new SplittableRandom(1));
+    double[] counts = new double[ENGINES.size()];
+    for (int i = 0; i < 20_000; i++) {
+      long prefix = Hashing.mix(i + 1);
+      String chosen =
+          weighted.byAffinity(ENGINES, prefix, Set.of(), NANOS_PER_SECOND).orElseThrow().id();
+      counts[chosen.charAt(1) - '0']++;
+      String before = engineFor(prefix);
+      if (!before.equals("e0") && !chosen.equals("e2")) {
+        assertThat(chosen).isEqualTo(before);
+      }
+    }
+
+    assertThat(counts[0] / counts[1]).isCloseTo(0.46, within(0.05));
+    assertThat(counts[2] / counts[1]).isCloseTo(2.18, within(0.15));
+  }
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.oriolewell.core.capacity.LearnedSpeeds;
 import org.oriolewell.core.overload.CallerPatience;
 import org.oriolewell.core.overload.FirstByteTimes;
 import org.oriolewell.core.overload.ForecastBias;
@@ -105,6 +106,7 @@
     PrometheusRegistry registry = new PrometheusRegistry();
     final GatewayMetrics metrics = GatewayMetrics.register(registry);
     final UpstreamHealth health = UpstreamHealth.create();
+    final LearnedSpeeds speeds = LearnedSpeeds.create();
     stageCoordinator =
         new StageCoordinator(loop, control, client, platformAdapter.stageDialect(), regions, log);
     mesh =
@@ -123,7 +125,8 @@
             stageCoordinator,
             regions,
             health,
-            Placement.of(health, new SplittableRandom(self.name().hashCode())),
+            speeds,
+            placement(settings, health, speeds),
             FirstByteTimes.create(),
             ForecastBias.create(),
             CallerPatience.create(),
@@ -188,6 +191,14 @@
         endPoint -> new CallerConnection(endPoint, loop::execute, loop, handler, answerMemory));
   }
 
+  private static Placement placement(
+      Settings settings, UpstreamHealth health, LearnedSpeeds speeds) {
+    SplittableRandom random = new SplittableRandom(settings.value(GatewaySettings.NAME).hashCode());
+    return settings.value(GatewaySettings.LEARN_CAPACITY)
+        ? Placement.of(health, speeds::level, random)
+        : Placement.of(health, random);
+  }
+
   private void startOnLoop() {
     control.onChange(mesh::updatePeers);
     control.onChange(stageCoordinator::refreshUpstreams);
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewaySettings.java
@@ -117,6 +117,13 @@
           "Largest sum of what is kept of all answers in progress and of output that callers have"
               + " not read, in bytes.");
 
+  /** Whether placement uses what is learned about the speed and the load of upstreams. */
+  public static final Setting<Boolean> LEARN_CAPACITY =
+      Setting.flag(
+          "placement.learn_capacity",
+          true,
+          "Whether upstreams get requests by their learned speed and load.");
+
   /** The settings in the order in which they are listed to operators. */
   public static final SettingsSpec SPEC =
       SettingsSpec.of(
@@ -139,7 +146,8 @@
               RETRY_SLACK,
               RETRY_WINDOW,
               MAX_ANSWER_BYTES,
-              MAX_BUFFERED_BYTES));
+              MAX_BUFFERED_BYTES,
+              LEARN_CAPACITY));
 
   private GatewaySettings() {}
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
@@ -329,6 +330,11 @@
     return parts.isEmpty() ? null : String.join(",", parts);
   }
 
+  private @Nullable Integer speedLevelForLog(UpstreamInstance upstream, long now) {
+    OptionalInt level = components.speeds().level(upstream.id(), now);
+    return level.isPresent() ? level.getAsInt() : null;
+  }
+
   private void callUpstream(@Nullable String lastEventId) {
     if (requestEnded) {
       return;
@@ -422,6 +428,7 @@
         .with("zone", upstream.zone())
         .with("in_flight", components.health().inFlight(upstream.id()))
         .with("failures", components.health().failureScore(upstream.id(), now))
+        .with("speed_level", speedLevelForLog(upstream, now))
         .with("resume_after", lastEventId)
         .with("prompt_parts", promptPartsForLog())
         .with("remaining_ms", remaining.toMillis())
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -1,9 +1,11 @@
 package org.oriolewell.gateway;
 
 import java.time.Duration;
+import java.util.List;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.capacity.StreamPace;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.RequestKind;
 import org.oriolewell.core.route.Route;
@@ -89,6 +91,7 @@
   private final EventSplitter eventSplitter = EventSplitter.create();
   private final AnswerBody body;
   private final AnswerStream answerStream;
+  private final StreamPace streamPace;
   private UpstreamClient.@Nullable Call call;
   private EventLoop.@Nullable Timer inactivityTimer;
   private @Nullable Duration inactivityTimeout;
@@ -130,6 +133,7 @@
     this.upstream = upstream;
     this.answerStream = answerStream;
     this.listener = listener;
+    this.streamPace = StreamPace.of(components.speeds(), upstream.id());
     this.body =
         AnswerBody.withLimit(components.maxAnswerBytes(), GatewaySettings.MAX_ANSWER_BYTES.key());
   }
@@ -247,7 +251,9 @@
       body.append(content);
       return;
     }
-    for (EventSplitter.Event event : eventSplitter.add(content)) {
+    List<EventSplitter.Event> events = eventSplitter.add(content);
+    streamPace.received(events.size(), components.loop().now());
+    for (EventSplitter.Event event : events) {
       if (attemptEnded) {
         return;
       }
