Check each call to an upstream against one set of rules

Cause: which upstreams a call may reach was decided in several classes, each with its own conditions, and nothing kept a new sending path from skipping them.

The client sends to no other address except the store's. Allowed regions and the limits that upstreams name are rules now; stage queues ask the same check.

--- a/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.eligibility.Eligibility;
 import org.oriolewell.core.ratelimit.PermitIssuer;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.StageService;
@@ -107,6 +108,7 @@
   private final String serviceName;
   private final Map<String, UpstreamState> upstreamStates = new LinkedHashMap<>();
   private final PermitIssuer permits = PermitIssuer.create();
+  private CallRule callRule = (upstream, now) -> Eligibility.ALLOWED;
   private final Map<WorkId, PendingWork> pendingWork = new LinkedHashMap<>();
   private final Map<WorkId, AnnouncedWork> announcedWork = new HashMap<>();
   private final Map<Long, RunningCall> runningCalls = new HashMap<>();
@@ -120,6 +122,13 @@
     }
   }
 
+  /** Decides whether a call may be sent to an upstream now. */
+  @FunctionalInterface
+  public interface CallRule {
+    /** Returns the verdict on a call to an upstream. */
+    Eligibility check(UpstreamInstance upstream, long now);
+  }
+
   private record AnnouncedWork(int rank, long resultBytes, int pieces, long expiresAt) {}
 
   /**
@@ -216,6 +225,11 @@
     return new StageQueue(serviceName, service);
   }
 
+  /** Sets the rule that calls and requests that free results must pass. */
+  public void callRule(CallRule rule) {
+    callRule = rule;
+  }
+
   /** Replaces the list of upstreams; calls that run at a removed upstream continue. */
   public void replaceUpstreams(Collection<UpstreamInstance> instances, long now) {
     Set<String> presentIds = new HashSet<>();
@@ -304,27 +318,44 @@
    */
   public boolean takeReleasePermit(String upstreamId, long now) {
     UpstreamState upstream = upstreamStates.get(upstreamId);
-    return upstream == null
-        || upstream.limitPerSecond.isEmpty()
-        || permits
-            .issue(upstreamId, upstream.limitPerSecond.getAsDouble(), RELEASE_RANK, now)
-            .granted();
+    if (upstream == null) {
+      return true;
+    }
+    OptionalDouble rate = permitRate(upstream, now);
+    return !blocked(upstream, now)
+        && (rate.isEmpty()
+            || permits.issue(upstreamId, rate.getAsDouble(), RELEASE_RANK, now).granted());
   }
 
   private boolean callPermitted(UpstreamState upstream, long now) {
-    return upstream.limitPerSecond.isEmpty()
-        || permits
-            .missingTime(
-                upstream.instance.id(), upstream.limitPerSecond.getAsDouble(), CALL_RANK, now)
-            .isZero();
+    OptionalDouble rate = permitRate(upstream, now);
+    return rate.isEmpty()
+        || permits.missingTime(upstream.instance.id(), rate.getAsDouble(), CALL_RANK, now).isZero();
   }
 
   private void takeCallPermit(UpstreamState upstream, long now) {
-    if (upstream.limitPerSecond.isPresent()) {
-      permits.issue(upstream.instance.id(), upstream.limitPerSecond.getAsDouble(), CALL_RANK, now);
+    OptionalDouble rate = permitRate(upstream, now);
+    if (rate.isPresent()) {
+      permits.issue(upstream.instance.id(), rate.getAsDouble(), CALL_RANK, now);
     }
   }
 
+  /** Returns the lower one of the upstream's named limit and the rate of the call rule. */
+  private OptionalDouble permitRate(UpstreamState upstream, long now) {
+    return callRule.check(upstream.instance, now) instanceof Eligibility.PermitNeeded needed
+        ? OptionalDouble.of(
+            Math.min(needed.perSecond(), upstream.limitPerSecond.orElse(needed.perSecond())))
+        : upstream.limitPerSecond;
+  }
+
+  private boolean blocked(UpstreamState upstream, long now) {
+    return callRule.check(upstream.instance, now) instanceof Eligibility.Blocked;
+  }
+
+  private boolean available(UpstreamState upstream, long now) {
+    return now >= upstream.pausedUntil && !blocked(upstream, now);
+  }
+
   /** Returns the calls that the dispatcher has to send now, and counts them as running. */
   public List<StageCall> nextCalls(long now) {
     List<StageCall> callsToSend = new ArrayList<>();
@@ -332,7 +363,7 @@
     for (UpstreamState upstream : upstreamStates.values()) {
       expireResults(upstream, now);
       if (upstream.runningCalls < service.slots()
-          && now >= upstream.pausedUntil
+          && available(upstream, now)
           && callPermitted(upstream, now)) {
         freeUpstreams.add(upstream);
       }
@@ -388,7 +419,7 @@
         || now - pending.addedAt >= PREFERRED_ZONE_WAIT.toNanos()
         || now >= pending.work.latestStart()
         || upstreamStates.values().stream()
-            .noneMatch(other -> inPreferredZone(other, pending) && now >= other.pausedUntil);
+            .noneMatch(other -> inPreferredZone(other, pending) && available(other, now));
   }
 
   private static boolean isLate(PendingWork pending, long now) {
@@ -672,7 +703,7 @@
     int usableUpstreams = 0;
     long minResidualNanos = Long.MAX_VALUE;
     for (UpstreamState upstream : upstreamStates.values()) {
-      if (now >= upstream.pausedUntil) {
+      if (available(upstream, now)) {
         usableUpstreams++;
         minResidualNanos = Math.min(minResidualNanos, residualNanos(upstream, now));
       }
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -11,6 +11,8 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.oriolewell.core.eligibility.EligibilityCheck;
+import org.oriolewell.core.eligibility.RegionRule;
 import org.oriolewell.core.overload.CallerPatience;
 import org.oriolewell.core.overload.FirstByteTimes;
 import org.oriolewell.core.overload.ForecastBias;
@@ -63,6 +65,7 @@
   private final ControlPlane control;
   private final AnswerMemory answerMemory;
   private final UpstreamClient client;
+  private final EligibilityCheck eligibility;
   private final StageCoordinator stageCoordinator;
   private final PeerMesh mesh;
   private final RequestIntake intake;
@@ -80,10 +83,13 @@
     loop = EventLoop.start("gateway", log, CONNECT_TIMEOUT, Gateway::endProcess);
     RequestDialect dialect = platformAdapter.requestDialect();
     answerMemory = new AnswerMemory(settings.value(GatewaySettings.MAX_BUFFERED_BYTES), log);
-    client = UpstreamClient.create(loop, dialect.attemptIdHeader(), answerMemory);
-    StoreCaller store =
-        StoreCaller.create(
-            loop, client, Ipv4SocketAddress.parse(settings.value(GatewaySettings.STORE_ADDRESS)));
+    client =
+        UpstreamClient.create(
+            loop,
+            dialect.attemptIdHeader(),
+            answerMemory,
+            Ipv4SocketAddress.parse(settings.value(GatewaySettings.STORE_ADDRESS)));
+    StoreCaller store = StoreCaller.create(loop, client);
     Peer self =
         new Peer(
             settings.value(GatewaySettings.NAME),
@@ -114,6 +120,8 @@
     mesh.observationListener(exchange);
     CrashGuard crashGuard = new CrashGuard(loop, control, feed, client, exchange, log);
     stopGate = new StopGate(loop);
+    UpstreamLimits upstreamLimits = new UpstreamLimits(loop, control, mesh, regions, exchange, log);
+    eligibility = EligibilityCheck.of(List.of(RegionRule.of(regions::regionOf), upstreamLimits));
     GatewayComponents components =
         new GatewayComponents(
             loop,
@@ -133,7 +141,8 @@
                 Duration.ofSeconds(settings.value(GatewaySettings.RETRY_WINDOW)),
                 () -> control.peers().size() + 1),
             crashGuard,
-            new UpstreamLimits(loop, control, mesh, regions, exchange, log),
+            upstreamLimits,
+            eligibility,
             stopGate,
             settings.value(GatewaySettings.MAX_ANSWER_BYTES),
             metrics,
@@ -191,7 +200,7 @@
   private void startOnLoop() {
     control.onChange(mesh::updatePeers);
     control.onChange(stageCoordinator::refreshUpstreams);
-    stageCoordinator.start(mesh);
+    stageCoordinator.start(mesh, eligibility);
     control.start();
     loop.every(IDLE_SWEEP_INTERVAL, client::closeStale);
   }
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayComponents.java
@@ -1,6 +1,7 @@
 package org.oriolewell.gateway;
 
 import java.time.Duration;
+import org.oriolewell.core.eligibility.EligibilityCheck;
 import org.oriolewell.core.overload.CallerPatience;
 import org.oriolewell.core.overload.FirstByteTimes;
 import org.oriolewell.core.overload.ForecastBias;
@@ -27,6 +28,7 @@
  * @param retryBudget limit on retries, shared by all gateways
  * @param crashGuard quarantine of prompt parts that crash engines
  * @param upstreamLimits limits that upstreams name in their answers
+ * @param eligibility decides which upstreams a call may be sent to
  * @param stopGate decides which requests are started and sent during a stop
  * @param maxAnswerBytes largest accepted body of an upstream's answer, and largest event of a
  *     stream, in bytes
@@ -48,6 +50,7 @@
     SharedRetryBudget retryBudget,
     CrashGuard crashGuard,
     UpstreamLimits upstreamLimits,
+    EligibilityCheck eligibility,
     StopGate stopGate,
     int maxAnswerBytes,
     GatewayMetrics metrics,
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.oriolewell.core.eligibility.CallScope;
 import org.oriolewell.core.overload.StageAdmission;
 import org.oriolewell.core.overload.StageAdmission.Decision;
 import org.oriolewell.core.overload.StageAdmission.Estimate;
+import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.AllowedRegions;
 import org.oriolewell.core.route.Route;
 import org.oriolewell.core.stage.StageLoad;
@@ -93,8 +95,7 @@
   private Estimate estimate(StageProgress progress, String region) {
     boolean ownRegion = region.equals(components.control().self().region());
     boolean canServe =
-        hasUpstream(serviceName, region)
-            && (!allowedRegions.restricted() || hasStageUpstreams(progress, region));
+        !reachable(serviceName, region).isEmpty() && stagesReachable(progress, region);
     return canServe
         ? new Estimate(
             region,
@@ -104,14 +105,30 @@
         : new Estimate(region, ownRegion, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY);
   }
 
-  private boolean hasUpstream(String service, String region) {
+  private List<UpstreamInstance> listed(String service, String region) {
     return components.control().roster().usable(service).stream()
-        .anyMatch(upstream -> components.regions().regionOf(upstream.zone()).equals(region));
+        .filter(upstream -> components.regions().regionOf(upstream.zone()).equals(region))
+        .toList();
   }
 
-  private boolean hasStageUpstreams(StageProgress progress, String region) {
+  private List<UpstreamInstance> reachable(String service, String region) {
+    return components
+        .eligibility()
+        .reachable(
+            listed(service, region), new CallScope(allowedRegions, rank), components.loop().now());
+  }
+
+  /**
+   * Returns whether no stage lacks an upstream in a region because of a rule. An upstream that
+   * isn't listed yet may be listed before the stage starts.
+   */
+  private boolean stagesReachable(StageProgress progress, String region) {
     return route.stages().stream()
-        .allMatch(stage -> progress.isDone(stage.index()) || hasUpstream(stage.service(), region));
+        .filter(stage -> !progress.isDone(stage.index()))
+        .allMatch(
+            stage ->
+                !reachable(stage.service(), region).isEmpty()
+                    || (!allowedRegions.restricted() && listed(stage.service(), region).isEmpty()));
   }
 
   private double expectedFirstByteMillis(StageProgress progress, String region, int workRank) {
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -7,6 +7,9 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.Eligibility;
+import org.oriolewell.core.eligibility.EligibleUpstream;
 import org.oriolewell.core.overload.StageAdmission.Decision;
 import org.oriolewell.core.quarantine.CrashQuarantine;
 import org.oriolewell.core.quarantine.CrashSubject;
@@ -189,7 +192,7 @@
       refuseForStop();
       return;
     }
-    if (allowedRegions.restricted() && !upstreamChoice.anyPermitted()) {
+    if (upstreamChoice.unreachable(rank)) {
       refuseWithoutUpstream();
       return;
     }
@@ -352,13 +355,15 @@
     if (trialSubject == null && heldBack()) {
       return;
     }
+    long now = components.loop().now();
     Optional<UpstreamInstance> chosenUpstream = upstreamChoice.next(region, rank);
     if (chosenUpstream.isEmpty()) {
       refuseWithoutUpstream();
-    } else if (components.upstreamLimits().limited(chosenUpstream.get())) {
+    } else if (components.eligibility().check(chosenUpstream.get(), scope(), now)
+        instanceof Eligibility.PermitNeeded) {
       requestPermit(chosenUpstream.get(), lastEventId);
     } else {
-      sendTo(chosenUpstream.get(), lastEventId);
+      sendTo(chosenUpstream.get(), false, lastEventId);
     }
   }
 
@@ -380,16 +385,20 @@
       upstreamChoice.permitRefused(upstream);
       callUpstream(lastEventId);
     } else if (trialSubject != null || !heldBack()) {
-      sendTo(upstream, lastEventId);
+      sendTo(upstream, true, lastEventId);
     }
   }
 
+  private CallScope scope() {
+    return new CallScope(allowedRegions, rank);
+  }
+
   private void refuseWithoutUpstream() {
     if (mayHaveExecuted) {
       fail("no other upstream is left", 502);
       return;
     }
-    Optional<Duration> shortestBlock = upstreamChoice.shortestBlock(rank);
+    Optional<Duration> shortestBlock = upstreamChoice.screen(rank).shortestBlock();
     if (shortestBlock.isPresent() || upstreamChoice.anyPermitRefused()) {
       Duration retryAfter =
           shortestBlock
@@ -405,11 +414,18 @@
     }
   }
 
-  private void sendTo(UpstreamInstance upstream, @Nullable String lastEventId) {
+  private void sendTo(UpstreamInstance upstream, boolean permitHeld, @Nullable String lastEventId) {
     if (exchange.detectCallerGone()) {
       return;
     }
     long now = components.loop().now();
+    Optional<EligibleUpstream> target =
+        components.eligibility().clear(upstream, scope(), permitHeld, now);
+    if (target.isEmpty()) {
+      // A rule has changed while the permit was asked for.
+      callUpstream(lastEventId);
+      return;
+    }
     Duration remaining = Duration.ofNanos(deadline - now);
     if (remaining.toMillis() <= 0) {
       onTimeout();
@@ -458,7 +474,7 @@
             requestId());
     UpstreamAttempt newAttempt =
         new UpstreamAttempt(
-            components, guard, route, requestId(), crashSubjects, upstream, answerStream, this);
+            components, guard, route, requestId(), crashSubjects, target.get(), answerStream, this);
     attempt = newAttempt;
     attemptStartedAt = now;
     newAttempt.start(request, SilenceLimit.of(route, attemptCount).orElse(null));
@@ -466,7 +482,7 @@
 
   @Override
   public boolean mayReplaceSilentAttempt() {
-    if (!upstreamChoice.anyUnlimited(region) || !answerStream.events().resumable()) {
+    if (!upstreamChoice.anyUnlimited(region, rank) || !answerStream.events().resumable()) {
       return false;
     }
     retryGranted = mayRetry();
--- a/gateway/src/main/java/org/oriolewell/gateway/StageCoordinator.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageCoordinator.java
@@ -12,6 +12,8 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.EligibilityCheck;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.RouteTable;
 import org.oriolewell.core.route.ServiceSpec;
@@ -87,6 +89,7 @@
   private final Map<DispatcherKey, PublishedLoad> publishedLoads = new HashMap<>();
   private final Map<String, WireConnection> originConnections = new HashMap<>();
   private @Nullable PeerMesh mesh;
+  private EligibilityCheck eligibility = EligibilityCheck.of(List.of());
   private long nextTicket = 1;
   private long ticks;
 
@@ -106,8 +109,9 @@
   }
 
   /** Sets the connections to the other gateways and starts the periodic checks. */
-  void start(PeerMesh peerMesh) {
+  void start(PeerMesh peerMesh, EligibilityCheck eligibilityCheck) {
     mesh = peerMesh;
+    eligibility = eligibilityCheck;
     loop.every(TICK_INTERVAL, this::tick);
   }
 
@@ -315,6 +319,8 @@
             log,
             dispatcherKey.service(),
             stageService.get(),
+            eligibility,
+            new CallScope(Set.of(dispatcherKey.region()), 0),
             this::reportOutcomes);
     dispatchers.put(dispatcherKey, newDispatcher);
     newDispatcher.upstreams(upstreams(dispatcherKey));
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -8,11 +8,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.BiConsumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.EligibilityCheck;
+import org.oriolewell.core.eligibility.EligibleUpstream;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.StageService;
 import org.oriolewell.core.stage.PieceOutcome;
@@ -49,6 +53,8 @@
   private final EventLog log;
   private final String service;
   private final StageQueue queue;
+  private final EligibilityCheck eligibility;
+  private final CallScope scope;
   private final BiConsumer<StageWork, List<PieceOutcome>> outcomeListener;
   private final Map<String, UpstreamInstance> upstreamsByAddress = new HashMap<>();
   private final Map<String, List<String>> handlesToRelease = new LinkedHashMap<>();
@@ -61,6 +67,8 @@
       EventLog log,
       String service,
       StageService stageService,
+      EligibilityCheck eligibility,
+      CallScope scope,
       BiConsumer<StageWork, List<PieceOutcome>> outcomeListener) {
     this.loop = loop;
     this.client = client;
@@ -68,7 +76,10 @@
     this.log = log;
     this.service = service;
     this.queue = StageQueue.create(service, stageService);
+    this.eligibility = eligibility;
+    this.scope = scope;
     this.outcomeListener = outcomeListener;
+    queue.callRule((upstream, now) -> eligibility.check(upstream, scope, now));
   }
 
   /** Replaces the upstreams that calls are sent to. */
@@ -128,6 +139,12 @@
   }
 
   private void sendCall(StageCall call, long now) {
+    // The queue holds a permit where one is needed.
+    Optional<EligibleUpstream> target = eligibility.clear(call.upstream(), scope, true, now);
+    if (target.isEmpty()) {
+      applyEffects(queue.failed(call.id(), true, now));
+      return;
+    }
     log.event(GatewayEvent.STAGE_CALL)
         .with("service", service)
         .with("call", call.id())
@@ -137,7 +154,7 @@
         .with("requests", call.items().stream().map(i -> i.work().requestId()).distinct().toList())
         .with("waiting", queue.waitingPieces())
         .write();
-    new RunningCall(call, now).start();
+    new RunningCall(call, now).start(target.get());
   }
 
   /** A call that was sent to an upstream and waits for its answer. */
@@ -153,13 +170,8 @@
       this.startedAt = startedAt;
     }
 
-    private void start() {
-      clientCall =
-          client.send(
-              UpstreamClient.poolKey(call.upstream()),
-              call.upstream().address(),
-              dialect.runRequest(call, startedAt),
-              this);
+    private void start(EligibleUpstream target) {
+      clientCall = client.send(target, dialect.runRequest(call, startedAt), this);
       Duration timeout = Duration.ofNanos(StageQueue.overdueAfterNanos(call) * TIMEOUT_FACTOR);
       loop.after(
           timeout,
@@ -267,18 +279,21 @@
     handlesByAddress.forEach(
         (address, handles) -> {
           UpstreamInstance producer = upstreamsByAddress.get(address);
-          if (producer != null && queue.takeReleasePermit(producer.id(), loop.now())) {
-            sendRelease(producer, handles);
+          long now = loop.now();
+          if (producer != null && queue.takeReleasePermit(producer.id(), now)) {
+            eligibility
+                .clear(producer, scope, true, now)
+                .ifPresent(target -> sendRelease(target, handles));
           }
         });
   }
 
-  private void sendRelease(UpstreamInstance producer, List<String> handles) {
+  private void sendRelease(EligibleUpstream target, List<String> handles) {
+    UpstreamInstance producer = target.instance();
     boolean[] callEnded = new boolean[1];
     UpstreamClient.Call call =
         client.send(
-            UpstreamClient.poolKey(producer),
-            producer.address(),
+            target,
             dialect.releaseRequest(producer, handles),
             new BufferedAnswer(MAX_STAGE_ANSWER_BYTES, MAX_STAGE_ANSWER_BYTES_NAME) {
               @Override
--- a/gateway/src/main/java/org/oriolewell/gateway/StoreCaller.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StoreCaller.java
@@ -3,15 +3,12 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.http.HttpFields;
-import org.oriolewell.core.roster.Ipv4SocketAddress;
 import org.oriolewell.gateway.ControlFeed.FeedException;
 import org.oriolewell.gateway.ControlFeed.FeedException.Reason;
 import org.oriolewell.runtime.net.EventLoop;
 
 /** HTTP client for the platform's store, with pooled connections. Thread-safe. */
 public final class StoreCaller {
-  private static final String POOL_KEY = "store";
-
   /**
    * Largest answer of the store: a page holds 1 MB of values, which Base64 makes a third longer.
    */
@@ -19,7 +16,6 @@
 
   private final EventLoop loop;
   private final UpstreamClient client;
-  private final Ipv4SocketAddress storeAddress;
 
   /**
    * An HTTP answer of the store.
@@ -30,15 +26,14 @@
    */
   public record Answer(int status, HttpFields headers, byte[] body) {}
 
-  private StoreCaller(EventLoop loop, UpstreamClient client, Ipv4SocketAddress storeAddress) {
+  private StoreCaller(EventLoop loop, UpstreamClient client) {
     this.loop = loop;
     this.client = client;
-    this.storeAddress = storeAddress;
   }
 
-  /** Returns a client for the store at an IP address and port. */
-  static StoreCaller create(EventLoop loop, UpstreamClient client, Ipv4SocketAddress storeAddress) {
-    return new StoreCaller(loop, client, storeAddress);
+  /** Returns a client for the store that an HTTP client is connected to. */
+  static StoreCaller create(EventLoop loop, UpstreamClient client) {
+    return new StoreCaller(loop, client);
   }
 
   /**
@@ -68,7 +63,7 @@
     }
 
     private void start(UpstreamRequest request, Duration timeout) {
-      UpstreamClient.Call call = client.send(POOL_KEY, storeAddress, request, this);
+      UpstreamClient.Call call = client.sendToStore(request, this);
       EventLoop.Timer timer =
           loop.after(
               timeout,
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -4,6 +4,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.eligibility.EligibleUpstream;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.RequestKind;
 import org.oriolewell.core.route.Route;
@@ -84,6 +85,7 @@
   private final Route route;
   private final String requestId;
   private final CrashSubjects subjects;
+  private final EligibleUpstream target;
   private final UpstreamInstance upstream;
   private final Listener listener;
   private final EventSplitter eventSplitter = EventSplitter.create();
@@ -119,7 +121,7 @@
       Route route,
       String requestId,
       CrashSubjects subjects,
-      UpstreamInstance upstream,
+      EligibleUpstream target,
       AnswerStream answerStream,
       Listener listener) {
     this.components = components;
@@ -127,7 +129,8 @@
     this.route = route;
     this.requestId = requestId;
     this.subjects = subjects;
-    this.upstream = upstream;
+    this.target = target;
+    this.upstream = target.instance();
     this.answerStream = answerStream;
     this.listener = listener;
     this.body =
@@ -143,14 +146,7 @@
     inactivityTimeout = inactivityLimit;
     components.health().started(upstream.id());
     restartInactivityTimer();
-    call =
-        components
-            .client()
-            .send(
-                UpstreamClient.poolKey(upstream),
-                upstream.address(),
-                request,
-                new GuardedListener(guard, this));
+    call = components.client().send(target, request, new GuardedListener(guard, this));
   }
 
   /** Returns whether the upstream may have received the request. */
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamChoice.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamChoice.java
@@ -1,12 +1,11 @@
 package org.oriolewell.gateway;
 
-import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
+import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.Screening;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.AllowedRegions;
 
@@ -73,56 +72,44 @@
    * @param rank urgency of the request; the lowest rank is the most urgent
    */
   Optional<UpstreamInstance> next(String region, int rank) {
-    return choose(usableUpstreams(upstream -> permitPossible(upstream, rank)), region);
+    return choose(unblocked(rank), region);
   }
 
-  /** Returns whether an upstream without a limit is left for another attempt. */
-  boolean anyUnlimited(String region) {
-    return choose(
-            usableUpstreams(upstream -> !components.upstreamLimits().limited(upstream)), region)
-        .isPresent();
+  /** Returns whether an upstream that needs no permit is left for another attempt. */
+  boolean anyUnlimited(String region, int rank) {
+    return choose(screen(rank).allowed(), region).isPresent();
   }
 
   /** Returns the zone of the engine that would run the request now; empty if there is none. */
   String engineZone(String region, int rank) {
-    return chooseEngine(usableUpstreams(upstream -> permitPossible(upstream, rank)), region)
-        .map(UpstreamInstance::zone)
-        .orElse("");
+    return chooseEngine(unblocked(rank), region).map(UpstreamInstance::zone).orElse("");
   }
 
-  /** Returns the shortest time until a limited upstream may grant a permit; empty if none does. */
-  Optional<Duration> shortestBlock(int rank) {
-    return permittedUpstreams().stream()
-        .map(upstream -> components.upstreamLimits().blockedTime(upstream, rank))
-        .filter(time -> !time.isZero())
-        .min(Comparator.naturalOrder());
+  /** Sorts the upstreams of the service by whether the request may be sent to them now. */
+  Screening screen(int rank) {
+    return components
+        .eligibility()
+        .screen(
+            components.control().roster().usable(serviceName),
+            new CallScope(allowedRegions, rank),
+            components.loop().now());
   }
 
-  private boolean permitPossible(UpstreamInstance upstream, int rank) {
-    return !permitRefusals.contains(upstream.id())
-        && components.upstreamLimits().blockedTime(upstream, rank).isZero();
-  }
-
-  /** Returns whether the rules of the request allow any upstream of the service. */
-  boolean anyPermitted() {
-    return !permittedUpstreams().isEmpty();
-  }
-
-  private List<UpstreamInstance> permittedUpstreams() {
+  /** Returns whether the service has upstreams, but rules block all of them for an unknown time. */
+  boolean unreachable(int rank) {
     List<UpstreamInstance> usable = components.control().roster().usable(serviceName);
-    return allowedRegions.restricted()
-        ? usable.stream()
-            .filter(
-                upstream -> allowedRegions.permits(components.regions().regionOf(upstream.zone())))
-            .toList()
-        : usable;
+    return !usable.isEmpty()
+        && components
+            .eligibility()
+            .reachable(usable, new CallScope(allowedRegions, rank), components.loop().now())
+            .isEmpty();
   }
 
-  private List<UpstreamInstance> usableUpstreams(Predicate<UpstreamInstance> condition) {
-    List<UpstreamInstance> usable = permittedUpstreams();
-    return components.upstreamLimits().anyLimited()
-        ? usable.stream().filter(condition).toList()
-        : usable;
+  private List<UpstreamInstance> unblocked(int rank) {
+    List<UpstreamInstance> unblocked = screen(rank).unblocked();
+    return permitRefusals.isEmpty()
+        ? unblocked
+        : unblocked.stream().filter(u -> !permitRefusals.contains(u.id())).toList();
   }
 
   private Optional<UpstreamInstance> choose(List<UpstreamInstance> candidates, String region) {
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.eligibility.EligibleUpstream;
 import org.oriolewell.core.roster.Ipv4SocketAddress;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.runtime.net.EventLoop;
@@ -23,10 +24,14 @@
  * own, since another upstream may use the same address later. Used on the event loop only.
  */
 final class UpstreamClient {
+  /** Key of the connections to the store; not of the form of an upstream's key. */
+  private static final String STORE_POOL_KEY = "store";
+
   private final EventLoop loop;
   private final Executor executor;
   private final String attemptIdHeader;
   private final AnswerMemory answerMemory;
+  private final Ipv4SocketAddress storeAddress;
   private final Map<String, Pool> poolsByKey = new HashMap<>();
 
   /** A request in progress, which can be canceled. */
@@ -72,10 +77,15 @@
     }
   }
 
-  private UpstreamClient(EventLoop loop, String attemptIdHeader, AnswerMemory answerMemory) {
+  private UpstreamClient(
+      EventLoop loop,
+      String attemptIdHeader,
+      AnswerMemory answerMemory,
+      Ipv4SocketAddress storeAddress) {
     this.loop = loop;
     this.attemptIdHeader = attemptIdHeader;
     this.answerMemory = answerMemory;
+    this.storeAddress = storeAddress;
     this.executor = loop::execute;
   }
 
@@ -84,9 +94,25 @@
    *
    * @param attemptIdHeader name of the header that carries the identifier of the answered attempt
    * @param answerMemory memory of the answers in progress
+   * @param storeAddress IP address and port of the platform's store
    */
-  static UpstreamClient create(EventLoop loop, String attemptIdHeader, AnswerMemory answerMemory) {
-    return new UpstreamClient(loop, attemptIdHeader, answerMemory);
+  static UpstreamClient create(
+      EventLoop loop,
+      String attemptIdHeader,
+      AnswerMemory answerMemory,
+      Ipv4SocketAddress storeAddress) {
+    return new UpstreamClient(loop, attemptIdHeader, answerMemory, storeAddress);
+  }
+
+  /** Sends a request to an upstream that has passed the eligibility check. */
+  Call send(EligibleUpstream target, UpstreamRequest request, UpstreamListener listener) {
+    UpstreamInstance upstream = target.instance();
+    return send(poolKey(upstream), upstream.address(), request, listener);
+  }
+
+  /** Sends a request to the platform's store. */
+  Call sendToStore(UpstreamRequest request, UpstreamListener listener) {
+    return send(STORE_POOL_KEY, storeAddress, request, listener);
   }
 
   /**
@@ -95,7 +121,7 @@
    * @param poolKey identifies one start of one upstream, whose connections are reused
    * @param address IP address and port of the upstream
    */
-  Call send(
+  private Call send(
       String poolKey,
       Ipv4SocketAddress address,
       UpstreamRequest request,
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamLimits.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamLimits.java
@@ -8,6 +8,10 @@
 import java.util.OptionalDouble;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.Eligibility;
+import org.oriolewell.core.eligibility.EligibilityRule;
+import org.oriolewell.core.eligibility.Reason;
 import org.oriolewell.core.ratelimit.NamedLimits;
 import org.oriolewell.core.ratelimit.PermitIssuer;
 import org.oriolewell.core.ratelimit.PermitIssuer.Permit;
@@ -25,7 +29,7 @@
  *
  * <p>Used on the event loop only.
  */
-final class UpstreamLimits implements PeerMesh.PermitListener {
+final class UpstreamLimits implements PeerMesh.PermitListener, EligibilityRule {
   /** Time for the issuer's answer; several round trips between regions. */
   private static final Duration PERMIT_TIMEOUT = Duration.ofMillis(150);
 
@@ -123,28 +127,28 @@
   }
 
   /** Returns whether an upstream has named a limit that may still hold. */
-  boolean anyLimited() {
+  @Override
+  public boolean active(CallScope scope) {
     return !limits.isEmpty();
   }
 
-  /** Returns whether a request to the upstream needs a permit. */
-  boolean limited(UpstreamInstance upstream) {
-    return !limits.isEmpty() && limits.limit(UpstreamClient.poolKey(upstream)).isPresent();
-  }
-
-  /**
-   * Returns the time until a permit may be granted for a request of a rank, as far as this gateway
-   * knows; zero if it can be asked for now.
-   */
-  Duration blockedTime(UpstreamInstance upstream, int rank) {
-    if (denials.isEmpty()) {
-      return Duration.ZERO;
+  /** Requires a permit for a limited upstream, and blocks it while none is granted. */
+  @Override
+  public Eligibility check(UpstreamInstance upstream, CallScope scope, long now) {
+    if (limits.isEmpty()) {
+      return Eligibility.ALLOWED;
     }
-    Denial denial = denials.get(UpstreamClient.poolKey(upstream));
-    if (denial == null || rank < denial.rank() || !limited(upstream)) {
-      return Duration.ZERO;
+    String key = UpstreamClient.poolKey(upstream);
+    OptionalDouble limit = limits.limit(key);
+    if (limit.isEmpty()) {
+      return Eligibility.ALLOWED;
     }
-    return Duration.ofNanos(Math.max(0, denial.until() - loop.now()));
+    Denial denial = denials.get(key);
+    long deniedNanos =
+        denial == null || scope.rank() < denial.rank() ? 0 : Math.max(0, denial.until() - now);
+    return deniedNanos > 0
+        ? new Eligibility.Blocked(Reason.LIMITED, Duration.ofNanos(deniedNanos))
+        : new Eligibility.PermitNeeded(limit.getAsDouble());
   }
 
   /**
