Send nothing more to the upstreams of an evacuated availability zone

Cause: operators could not take an availability zone out of use; its upstreams got calls until their entries were gone.

A waiting request is placed again, also while its connection is being opened, and its stages run again if their results are in the zone. A restored store that lacks the key keeps the order in force until its history is settled. An order for an unknown zone or with an odd value is logged and in force.

--- a/gateway/src/main/java/org/oriolewell/gateway/ControlFeed.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlFeed.java
@@ -42,6 +42,15 @@
     /** Gateways have marked the history of the store with this era as settled. */
     record HistorySettled(long era) implements Update {}
 
+    /** The operators have ordered that no more calls are sent to a zone's upstreams. */
+    record ZoneEvacuated(String zone) implements Update {}
+
+    /** The order to evacuate a zone was removed. */
+    record ZoneRestored(String zone) implements Update {}
+
+    /** A field of an entry that restricts upstreams is invalid; its strictest reading counts. */
+    record InvalidValue(String key, String problem) implements Update {}
+
     /** An entry of the store could not be decoded and is ignored. */
     record Unreadable(String key, String problem) implements Update {}
   }
--- a/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
@@ -53,6 +53,7 @@
   private final Map<String, Peer> peersByName = new HashMap<>();
   private final List<Runnable> changeListeners = new ArrayList<>();
   private QuarantineListener quarantineListener = new QuarantineListener() {};
+  private EvacuationListener evacuationListener = new EvacuationListener() {};
   private @Nullable RouteTable table;
   private final Duration settleTime;
   private final StoreHistory history;
@@ -97,6 +98,29 @@
     default void onSnapshot(Map<String, Duration> trialDelaysBySubject, boolean restored) {}
   }
 
+  /** Receives the operators' orders to evacuate availability zones. */
+  interface EvacuationListener {
+    /** Called when an order is in the store. */
+    default void onOrdered(String zone) {}
+
+    /** Called when all components have been told of the orders. */
+    default void onApplied() {}
+
+    /** Called when an order was removed from the store. */
+    default void onRemoved(String zone) {}
+
+    /**
+     * Called when everything was read again.
+     *
+     * @param listed zones whose orders are in the store
+     * @param settled whether the store's history is settled
+     */
+    default void onReread(Set<String> listed, boolean settled) {}
+
+    /** Called when the store's history is settled. */
+    default void onSettled() {}
+  }
+
   private ControlPlane(
       EventLoop loop,
       ControlFeed feed,
@@ -158,6 +182,11 @@
     quarantineListener = listener;
   }
 
+  /** Sets the receiver of the orders to evacuate zones. */
+  void evacuationListener(EvacuationListener listener) {
+    evacuationListener = listener;
+  }
+
   /** Returns the configuration in force, or null if none is known yet. */
   @Nullable RouteTable table() {
     return table;
@@ -282,6 +311,7 @@
       return;
     }
     settledEra = era;
+    guard.run("settled evacuations", evacuationListener::onSettled);
     Update.Configured config = heldConfig;
     heldConfig = null;
     if (config != null && table == null) {
@@ -370,6 +400,7 @@
     restoredUnread = false;
     List<UpstreamEntry> upstreams = new ArrayList<>();
     Set<String> listedNames = new HashSet<>();
+    Set<String> evacuatedZones = new HashSet<>();
     Map<String, Duration> trialDelaysBySubject = new HashMap<>();
     long ownLeaseId = 0;
     for (Update update : batch.updates()) {
@@ -380,6 +411,9 @@
       } else if (update instanceof Update.Configured configured && restored) {
         guard.run(stepName(update), () -> applyRestoredConfig(configured));
       } else {
+        if (update instanceof Update.ZoneEvacuated evacuated) {
+          evacuatedZones.add(evacuated.zone());
+        }
         if (update instanceof Update.PeerListed listed) {
           listedNames.add(listed.peer().name());
           ownLeaseId = listed.peer().name().equals(self.name()) ? listed.leaseId() : ownLeaseId;
@@ -396,6 +430,9 @@
     peersByName
         .keySet()
         .removeIf(name -> !listedNames.contains(name) && !unconfirmedPeers.contains(name));
+    guard.run(
+        "evacuations",
+        () -> evacuationListener.onReread(evacuatedZones, history.isSettled(loop.now())));
     guard.run("quarantine", () -> quarantineListener.onSnapshot(trialDelaysBySubject, restored));
   }
 
@@ -455,6 +492,15 @@
       if (history.isSettled(loop.now())) {
         onSettled();
       }
+    } else if (update instanceof Update.ZoneEvacuated evacuated) {
+      evacuationListener.onOrdered(evacuated.zone());
+    } else if (update instanceof Update.ZoneRestored restored) {
+      evacuationListener.onRemoved(restored.zone());
+    } else if (update instanceof Update.InvalidValue invalid) {
+      log.event(GatewayEvent.RULE_VALUE_INVALID)
+          .with("key", invalid.key())
+          .with("problem", invalid.problem())
+          .write();
     } else if (update instanceof Update.Unreadable unreadable) {
       log.event(GatewayEvent.ENTRY_UNREADABLE)
           .with("key", unreadable.key())
@@ -504,6 +550,7 @@
 
   private void notifyListeners() {
     changeListeners.forEach(listener -> guard.run("change listener", listener));
+    evacuationListener.onApplied();
   }
 
   @Override
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -66,6 +66,7 @@
   private final AnswerMemory answerMemory;
   private final UpstreamClient client;
   private final EligibilityCheck eligibility;
+  private final Evacuations evacuations;
   private final StageCoordinator stageCoordinator;
   private final PeerMesh mesh;
   private final RequestIntake intake;
@@ -121,7 +122,11 @@
     CrashGuard crashGuard = new CrashGuard(loop, control, feed, client, exchange, log);
     stopGate = new StopGate(loop);
     UpstreamLimits upstreamLimits = new UpstreamLimits(loop, control, mesh, regions, exchange, log);
-    eligibility = EligibilityCheck.of(List.of(RegionRule.of(regions::regionOf), upstreamLimits));
+    evacuations = new Evacuations(regions, log);
+    control.evacuationListener(evacuations);
+    eligibility =
+        EligibilityCheck.of(
+            List.of(RegionRule.of(regions::regionOf), evacuations.zones(), upstreamLimits));
     GatewayComponents components =
         new GatewayComponents(
             loop,
@@ -160,6 +165,7 @@
               metrics.setBufferedBytes(answerMemory.bytes());
               metrics.setViewAge(control.ageMillis() / 1000.0);
               metrics.setQuarantined(crashGuard.quarantinedCount());
+              metrics.setEvacuatedZones(evacuations.zones().size());
             });
     EventLoop.Listener operatorListener =
         listenHttp(settings.value(GatewaySettings.OPERATOR_ADDRESS), operatorsHandler);
@@ -200,7 +206,7 @@
   private void startOnLoop() {
     control.onChange(mesh::updatePeers);
     control.onChange(stageCoordinator::refreshUpstreams);
-    stageCoordinator.start(mesh, eligibility);
+    stageCoordinator.start(mesh, eligibility, evacuations.zones());
     control.start();
     loop.every(IDLE_SWEEP_INTERVAL, client::closeStale);
   }
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -89,7 +89,23 @@
       "The answers in progress take up more memory than upstreams.max_buffered_bytes allows; the"
           + " largest ones were ended."),
   REQUEST_STEP_FAILED(
-      8060, Level.SEVERE, "The processing of a request failed with an exception; it was ended.");
+      8060, Level.SEVERE, "The processing of a request failed with an exception; it was ended."),
+  RULE_VALUE_INVALID(
+      8070,
+      Level.WARNING,
+      "A value that restricts the use of upstreams is invalid; its strictest reading is in force."),
+  EVACUATION_ORDERED(
+      8071,
+      Level.WARNING,
+      "The operators have ordered that nothing more is sent to the upstreams of a zone."),
+  EVACUATION_IN_FORCE(
+      8072, Level.INFO, "This gateway sends nothing more to the upstreams of an evacuated zone."),
+  EVACUATION_REMOVED(8073, Level.INFO, "The upstreams of a zone may be used again."),
+  EVACUATION_KEPT(
+      8074,
+      Level.WARNING,
+      "A restored store lacks a known evacuation; it stays in force until the history is"
+          + " settled.");
 
   private final Description description;
 
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
@@ -4,6 +4,8 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Set;
+import org.oriolewell.core.eligibility.Reason;
 
 /** Prometheus metrics of the gateway. */
 final class GatewayMetrics {
@@ -21,6 +23,8 @@
   private final Gauge bufferedBytes;
   private final Gauge viewAge;
   private final Gauge quarantinedParts;
+  private final Gauge evacuatedZones;
+  private final Counter placedElsewhere;
 
   private GatewayMetrics(PrometheusRegistry registry) {
     requests =
@@ -74,6 +78,17 @@
             .name("oriolewell_gateway_quarantined_prompt_parts")
             .help("Prompt parts whose requests are refused since they crash engines.")
             .register(registry);
+    evacuatedZones =
+        Gauge.builder()
+            .name("oriolewell_gateway_evacuated_zones")
+            .help("Availability zones whose upstreams get no more calls.")
+            .register(registry);
+    placedElsewhere =
+        Counter.builder()
+            .name("oriolewell_gateway_placed_elsewhere_total")
+            .help("Choices of an upstream that a rule kept from some upstreams, by reason.")
+            .labelNames("reason")
+            .register(registry);
   }
 
   /** Creates the metrics and registers them. */
@@ -121,6 +136,16 @@
     quarantinedParts.set(partCount);
   }
 
+  /** Sets the number of evacuated zones. */
+  void setEvacuatedZones(int zoneCount) {
+    evacuatedZones.set(zoneCount);
+  }
+
+  /** Counts the choice of an upstream that rules kept from some upstreams of the service. */
+  void placedElsewhere(Set<Reason> reasons) {
+    reasons.forEach(reason -> placedElsewhere.labelValues(reason.label()).inc());
+  }
+
   /** Sets the age of the copy of the configuration; -1 if it was never confirmed. */
   void setViewAge(double seconds) {
     viewAge.set(seconds);
--- a/gateway/src/main/java/org/oriolewell/gateway/Regions.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Regions.java
@@ -38,6 +38,11 @@
     return regionByZone.getOrDefault(zone, zone);
   }
 
+  /** Returns whether an availability zone is among those of the settings. */
+  boolean knows(String zone) {
+    return regionByZone.containsKey(zone);
+  }
+
   /** Returns the names of all regions, each once. */
   Collection<String> all() {
     return new LinkedHashSet<>(regionByZone.values());
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -5,11 +5,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.eligibility.CallScope;
 import org.oriolewell.core.eligibility.Eligibility;
 import org.oriolewell.core.eligibility.EligibleUpstream;
+import org.oriolewell.core.eligibility.Reason;
 import org.oriolewell.core.overload.StageAdmission.Decision;
 import org.oriolewell.core.quarantine.CrashQuarantine;
 import org.oriolewell.core.quarantine.CrashSubject;
@@ -108,6 +110,9 @@
   /** Whether the current attempt was queued for writing to its upstream. */
   private boolean sent;
 
+  /** Whether the current attempt holds a permit for its upstream. */
+  private boolean permitHeld;
+
   /** Whether the retry budget has granted the next attempt already. */
   private boolean retryGranted;
 
@@ -309,11 +314,25 @@
               public void onFailed(String reason) {
                 refuse(reason, "stage failed", FULL_RETRY_AFTER);
               }
+
+              @Override
+              public void onResultsLost() {
+                repeatStages();
+              }
             });
     stageRun = currentRun;
     currentRun.start();
   }
 
+  /** Places the request again and runs its stages again, since their results are lost. */
+  private void repeatStages() {
+    cancelStages();
+    inputHandles = List.of();
+    if (!requestEnded) {
+      decideAdmission();
+    }
+  }
+
   private void logRouted(String reason, long expectedMillis) {
     RequestAdmission.Parts parts = forecastParts;
     components
@@ -355,6 +374,11 @@
     if (trialSubject == null && heldBack()) {
       return;
     }
+    StageRun currentRun = stageRun;
+    if (currentRun != null && !mayHaveExecuted && currentRun.resultsLost(inputHandles)) {
+      repeatStages();
+      return;
+    }
     long now = components.loop().now();
     Optional<UpstreamInstance> chosenUpstream = upstreamChoice.next(region, rank);
     if (chosenUpstream.isEmpty()) {
@@ -409,8 +433,14 @@
           "upstream limit",
           retryAfter);
     } else {
-      String where = allowedRegions.restricted() ? " in the allowed regions" : "";
-      refuse("no upstream of " + serviceName + where, "no upstream", NO_UPSTREAM_RETRY_AFTER);
+      String rules =
+          upstreamChoice.screen(rank).reasons().stream()
+              .map(Reason::label)
+              .collect(Collectors.joining(", "));
+      refuse(
+          "no upstream of " + serviceName + (rules.isEmpty() ? "" : " that is not " + rules),
+          "no upstream",
+          NO_UPSTREAM_RETRY_AFTER);
     }
   }
 
@@ -472,6 +502,7 @@
             headers,
             exchange.request().body(),
             requestId());
+    this.permitHeld = permitHeld;
     UpstreamAttempt newAttempt =
         new UpstreamAttempt(
             components, guard, route, requestId(), crashSubjects, target.get(), answerStream, this);
@@ -492,7 +523,28 @@
   @Override
   public void onConnected() {
     // Cancels the attempt before the request is written if the caller has disconnected meanwhile.
-    exchange.detectCallerGone();
+    if (!exchange.detectCallerGone()) {
+      placeAgainIfBlocked();
+    }
+  }
+
+  /** Chooses another upstream if a rule has blocked the current one before the request was sent. */
+  private void placeAgainIfBlocked() {
+    UpstreamAttempt currentAttempt = attempt;
+    if (requestEnded || currentAttempt == null) {
+      return;
+    }
+    boolean blocked =
+        components
+            .eligibility()
+            .clear(currentAttempt.upstream(), scope(), permitHeld, components.loop().now())
+            .isEmpty();
+    if (blocked) {
+      currentAttempt.cancel();
+      attempt = null;
+      attemptCount--;
+      callUpstream(lastForwardedEventId());
+    }
   }
 
   @Override
--- a/gateway/src/main/java/org/oriolewell/gateway/StageCoordinator.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageCoordinator.java
@@ -14,6 +14,7 @@
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.eligibility.CallScope;
 import org.oriolewell.core.eligibility.EligibilityCheck;
+import org.oriolewell.core.eligibility.EvacuatedZones;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.RouteTable;
 import org.oriolewell.core.route.ServiceSpec;
@@ -90,6 +91,7 @@
   private final Map<String, WireConnection> originConnections = new HashMap<>();
   private @Nullable PeerMesh mesh;
   private EligibilityCheck eligibility = EligibilityCheck.of(List.of());
+  private EvacuatedZones evacuatedZones = EvacuatedZones.create();
   private long nextTicket = 1;
   private long ticks;
 
@@ -109,9 +111,10 @@
   }
 
   /** Sets the connections to the other gateways and starts the periodic checks. */
-  void start(PeerMesh peerMesh, EligibilityCheck eligibilityCheck) {
+  void start(PeerMesh peerMesh, EligibilityCheck eligibilityCheck, EvacuatedZones evacuated) {
     mesh = peerMesh;
     eligibility = eligibilityCheck;
+    evacuatedZones = evacuated;
     loop.every(TICK_INTERVAL, this::tick);
   }
 
@@ -286,6 +289,11 @@
         .orElse("");
   }
 
+  /** Returns whether the upstream that holds a result is in an evacuated zone. */
+  boolean resultLost(String service, String handle) {
+    return evacuatedZones.size() > 0 && evacuatedZones.contains(producerZone(service, handle));
+  }
+
   /** Frees stage results at the upstreams of a service that hold them. */
   void release(String service, String region, List<String> handles) {
     if (handles.isEmpty()) {
--- a/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageRun.java
@@ -24,6 +24,9 @@
 
     /** Called when a piece of a stage has failed. */
     void onFailed(String reason);
+
+    /** Called when results of earlier stages are lost, so that the stages have to run again. */
+    void onResultsLost();
   }
 
   private final GatewayComponents components;
@@ -98,6 +101,11 @@
     }
     for (StageSpec stage :
         progress.startReadyStages(this::expectedMillis, components.loop().now())) {
+      if (resultsLost(progress.inputHandles(stage))) {
+        runEnded = true;
+        listener.onResultsLost();
+        return;
+      }
       submitStage(stage);
     }
     double millisToNextStart =
@@ -109,6 +117,13 @@
     }
   }
 
+  /** Returns whether any of the results is held by an upstream of an evacuated zone. */
+  boolean resultsLost(List<String> handles) {
+    return handles.stream()
+        .anyMatch(
+            handle -> components.stageCoordinator().resultLost(progress.serviceOf(handle), handle));
+  }
+
   private void submitStage(StageSpec stage) {
     long now = components.loop().now();
     double millisAfterStage =
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -149,6 +149,11 @@
     call = components.client().send(target, request, new GuardedListener(guard, this));
   }
 
+  /** Returns the upstream of the attempt. */
+  UpstreamInstance upstream() {
+    return upstream;
+  }
+
   /** Returns whether the upstream may have received the request. */
   boolean mayHaveBeenSent() {
     return !connectFailed;
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamChoice.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamChoice.java
@@ -72,7 +72,9 @@
    * @param rank urgency of the request; the lowest rank is the most urgent
    */
   Optional<UpstreamInstance> next(String region, int rank) {
-    return choose(unblocked(rank), region);
+    Screening screening = screen(rank);
+    components.metrics().placedElsewhere(screening.reasons());
+    return choose(withoutRefusals(screening), region);
   }
 
   /** Returns whether an upstream that needs no permit is left for another attempt. */
@@ -82,7 +84,9 @@
 
   /** Returns the zone of the engine that would run the request now; empty if there is none. */
   String engineZone(String region, int rank) {
-    return chooseEngine(unblocked(rank), region).map(UpstreamInstance::zone).orElse("");
+    return chooseEngine(withoutRefusals(screen(rank)), region)
+        .map(UpstreamInstance::zone)
+        .orElse("");
   }
 
   /** Sorts the upstreams of the service by whether the request may be sent to them now. */
@@ -105,8 +109,8 @@
             .isEmpty();
   }
 
-  private List<UpstreamInstance> unblocked(int rank) {
-    List<UpstreamInstance> unblocked = screen(rank).unblocked();
+  private List<UpstreamInstance> withoutRefusals(Screening screening) {
+    List<UpstreamInstance> unblocked = screening.unblocked();
     return permitRefusals.isEmpty()
         ? unblocked
         : unblocked.stream().filter(u -> !permitRefusals.contains(u.id())).toList();
