--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.oriolewell.core.capacity.LearnedSpeeds;
+import org.oriolewell.core.eligibility.EligibilityCheck;
+import org.oriolewell.core.eligibility.RegionRule;
 import org.oriolewell.core.overload.CallerPatience;
 import org.oriolewell.core.overload.FirstByteTimes;
 import org.oriolewell.core.overload.ForecastBias;
@@ -64,6 +66,8 @@
   private final ControlPlane control;
   private final AnswerMemory answerMemory;
   private final UpstreamClient client;
+  private final EligibilityCheck eligibility;
+  private final Evacuations evacuations;
   private final StageCoordinator stageCoordinator;
   private final PeerMesh mesh;
   private final RequestIntake intake;
@@ -81,10 +85,13 @@
     loop = EventLoop.start("gateway", log, CONNECT_TIMEOUT, Gateway::endProcess);
     RequestDialect dialect = platformAdapter.requestDialect();
     answerMemory = new AnswerMemory(settings.value(GatewaySettings.MAX_BUFFERED_BYTES), log);
-    client = UpstreamClient.create(loop, dialect.attemptIdHeader(), answerMemory);
-    StoreCaller store =
-        StoreCaller.create(
-            loop, client, Ipv4SocketAddress.parse(settings.value(GatewaySettings.STORE_ADDRESS)));
+    client =
+        UpstreamClient.create(
+            loop,
+            dialect.attemptIdHeader(),
+            answerMemory,
+            Ipv4SocketAddress.parse(settings.value(GatewaySettings.STORE_ADDRESS)));
+    StoreCaller store = StoreCaller.create(loop, client);
     Peer self =
         new Peer(
             settings.value(GatewaySettings.NAME),
@@ -116,6 +123,12 @@
     mesh.observationListener(exchange);
     CrashGuard crashGuard = new CrashGuard(loop, control, feed, client, exchange, log);
     stopGate = new StopGate(loop);
+    UpstreamLimits upstreamLimits = new UpstreamLimits(loop, control, mesh, regions, exchange, log);
+    evacuations = new Evacuations(regions, log);
+    control.evacuationListener(evacuations);
+    eligibility =
+        EligibilityCheck.of(
+            List.of(RegionRule.of(regions::regionOf), evacuations.zones(), upstreamLimits));
     GatewayComponents components =
         new GatewayComponents(
             loop,
@@ -136,7 +149,8 @@
                 Duration.ofSeconds(settings.value(GatewaySettings.RETRY_WINDOW)),
                 () -> control.peers().size() + 1),
             crashGuard,
-            new UpstreamLimits(loop, control, mesh, regions, exchange, log),
+            upstreamLimits,
+            eligibility,
             stopGate,
             settings.value(GatewaySettings.MAX_ANSWER_BYTES),
             metrics,
@@ -154,6 +168,7 @@
               metrics.setBufferedBytes(answerMemory.bytes());
               metrics.setViewAge(control.ageMillis() / 1000.0);
               metrics.setQuarantined(crashGuard.quarantinedCount());
+              metrics.setEvacuatedZones(evacuations.zones().size());
             });
     EventLoop.Listener operatorListener =
         listenHttp(settings.value(GatewaySettings.OPERATOR_ADDRESS), operatorsHandler);
@@ -202,7 +217,7 @@
   private void startOnLoop() {
     control.onChange(mesh::updatePeers);
     control.onChange(stageCoordinator::refreshUpstreams);
-    stageCoordinator.start(mesh);
+    stageCoordinator.start(mesh, eligibility, evacuations.zones());
     control.start();
     loop.every(IDLE_SWEEP_INTERVAL, client::closeStale);
   }
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.oriolewell.core.eligibility.CallScope;
 import org.oriolewell.core.overload.StageAdmission;
 import org.oriolewell.core.overload.StageAdmission.Decision;
 import org.oriolewell.core.overload.StageAdmission.Estimate;
@@ -102,16 +103,13 @@
 
   private List<Estimate> estimates(StageProgress progress) {
     Map<String, Integer> upstreamsByRegion = new HashMap<>();
-    for (UpstreamInstance upstream : components.control().roster().usable(serviceName)) {
-      String region = components.regions().regionOf(upstream.zone());
-      if (allowedRegions.permits(region)) {
-        upstreamsByRegion.merge(region, 1, Integer::sum);
-      }
+    for (UpstreamInstance upstream : reachable(serviceName)) {
+      upstreamsByRegion.merge(components.regions().regionOf(upstream.zone()), 1, Integer::sum);
     }
     Optional<String> home = RegionAffinity.home(intent.affinityHash(), upstreamsByRegion);
     List<Estimate> estimates = new ArrayList<>();
     for (String region : upstreamsByRegion.keySet()) {
-      if (!allowedRegions.restricted() || hasStageUpstreams(progress, region)) {
+      if (stagesReachable(progress, region)) {
         estimates.add(estimate(progress, region, home.filter(r -> !r.equals(region)).isPresent()));
       }
     }
@@ -127,14 +125,32 @@
         outsideHome ? RegionAffinity.costOutsideHomeMillis(intent.promptSize()) : 0);
   }
 
-  private boolean hasUpstream(String service, String region) {
-    return components.control().roster().usable(service).stream()
+  private List<UpstreamInstance> reachable(String service) {
+    return components
+        .eligibility()
+        .reachable(
+            components.control().roster().usable(service),
+            new CallScope(allowedRegions, rank),
+            components.loop().now());
+  }
+
+  private boolean anyIn(String region, List<UpstreamInstance> upstreams) {
+    return upstreams.stream()
         .anyMatch(upstream -> components.regions().regionOf(upstream.zone()).equals(region));
   }
 
-  private boolean hasStageUpstreams(StageProgress progress, String region) {
+  /**
+   * Returns whether no stage lacks an upstream in a region because of a rule. An upstream that
+   * isn't listed yet may be listed before the stage starts.
+   */
+  private boolean stagesReachable(StageProgress progress, String region) {
     return route.stages().stream()
-        .allMatch(stage -> progress.isDone(stage.index()) || hasUpstream(stage.service(), region));
+        .filter(stage -> !progress.isDone(stage.index()))
+        .allMatch(
+            stage ->
+                anyIn(region, reachable(stage.service()))
+                    || (!allowedRegions.restricted()
+                        && !anyIn(region, components.control().roster().usable(stage.service()))));
   }
 
   private double expectedFirstByteMillis(StageProgress progress, String region, int workRank) {
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -6,8 +6,13 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.Eligibility;
+import org.oriolewell.core.eligibility.EligibleUpstream;
+import org.oriolewell.core.eligibility.Reason;
 import org.oriolewell.core.overload.StageAdmission.Decision;
 import org.oriolewell.core.quarantine.CrashQuarantine;
 import org.oriolewell.core.quarantine.CrashSubject;
@@ -106,6 +111,9 @@
   /** Whether the current attempt was queued for writing to its upstream. */
   private boolean sent;
 
+  /** Whether the current attempt holds a permit for its upstream. */
+  private boolean permitHeld;
+
   /** Whether the retry budget has granted the next attempt already. */
   private boolean retryGranted;
 
@@ -190,7 +198,7 @@
       refuseForStop();
       return;
     }
-    if (allowedRegions.restricted() && !upstreamChoice.anyPermitted()) {
+    if (upstreamChoice.unreachable(rank)) {
       refuseWithoutUpstream();
       return;
     }
@@ -313,11 +321,25 @@
               public void onFailed(String reason) {
                 refuse(reason, "stage failed", FULL_RETRY_AFTER);
               }
+
+              @Override
+              public void onResultsLost() {
+                repeatStages();
+              }
             });
     stageRun = currentRun;
     currentRun.start();
   }
 
+  /** Places the request again and runs its stages again, since their results are lost. */
+  private void repeatStages() {
+    cancelStages();
+    inputHandles = List.of();
+    if (!requestEnded) {
+      decideAdmission();
+    }
+  }
+
   private void logRouted(String reason, long expectedMillis) {
     RequestAdmission.Parts parts = forecastParts;
     components
@@ -364,13 +386,20 @@
     if (trialSubject == null && heldBack()) {
       return;
     }
+    StageRun currentRun = stageRun;
+    if (currentRun != null && !mayHaveExecuted && currentRun.resultsLost(inputHandles)) {
+      repeatStages();
+      return;
+    }
+    long now = components.loop().now();
     Optional<UpstreamInstance> chosenUpstream = upstreamChoice.next(region, rank);
     if (chosenUpstream.isEmpty()) {
       refuseWithoutUpstream();
-    } else if (components.upstreamLimits().limited(chosenUpstream.get())) {
+    } else if (components.eligibility().check(chosenUpstream.get(), scope(), now)
+        instanceof Eligibility.PermitNeeded) {
       requestPermit(chosenUpstream.get(), lastEventId);
     } else {
-      sendTo(chosenUpstream.get(), lastEventId);
+      sendTo(chosenUpstream.get(), false, lastEventId);
     }
   }
 
@@ -392,16 +421,20 @@
       upstreamChoice.permitRefused(upstream);
       callUpstream(lastEventId);
     } else if (trialSubject != null || !heldBack()) {
-      sendTo(upstream, lastEventId);
+      sendTo(upstream, true, lastEventId);
     }
   }
 
+  private CallScope scope() {
+    return new CallScope(allowedRegions, rank);
+  }
+
   private void refuseWithoutUpstream() {
     if (mayHaveExecuted) {
       fail("no other upstream is left", 502);
       return;
     }
-    Optional<Duration> shortestBlock = upstreamChoice.shortestBlock(rank);
+    Optional<Duration> shortestBlock = upstreamChoice.screen(rank).shortestBlock();
     if (shortestBlock.isPresent() || upstreamChoice.anyPermitRefused()) {
       Duration retryAfter =
           shortestBlock
@@ -412,16 +445,29 @@
           "upstream limit",
           retryAfter);
     } else {
-      String where = allowedRegions.restricted() ? " in the allowed regions" : "";
-      refuse("no upstream of " + serviceName + where, "no upstream", NO_UPSTREAM_RETRY_AFTER);
+      String rules =
+          upstreamChoice.screen(rank).reasons().stream()
+              .map(Reason::label)
+              .collect(Collectors.joining(", "));
+      refuse(
+          "no upstream of " + serviceName + (rules.isEmpty() ? "" : " that is not " + rules),
+          "no upstream",
+          NO_UPSTREAM_RETRY_AFTER);
     }
   }
 
-  private void sendTo(UpstreamInstance upstream, @Nullable String lastEventId) {
+  private void sendTo(UpstreamInstance upstream, boolean permitHeld, @Nullable String lastEventId) {
     if (exchange.detectCallerGone()) {
       return;
     }
     long now = components.loop().now();
+    Optional<EligibleUpstream> target =
+        components.eligibility().clear(upstream, scope(), permitHeld, now);
+    if (target.isEmpty()) {
+      // A rule has changed while the permit was asked for.
+      callUpstream(lastEventId);
+      return;
+    }
     Duration remaining = Duration.ofNanos(deadline - now);
     if (remaining.toMillis() <= 0) {
       onTimeout();
@@ -469,9 +515,10 @@
             headers,
             exchange.request().body(),
             requestId());
+    this.permitHeld = permitHeld;
     UpstreamAttempt newAttempt =
         new UpstreamAttempt(
-            components, guard, route, requestId(), crashSubjects, upstream, answerStream, this);
+            components, guard, route, requestId(), crashSubjects, target.get(), answerStream, this);
     attempt = newAttempt;
     attemptStartedAt = now;
     newAttempt.start(request, SilenceLimit.of(route, attemptCount).orElse(null));
@@ -479,7 +526,7 @@
 
   @Override
   public boolean mayReplaceSilentAttempt() {
-    if (!upstreamChoice.anyUnlimited(region) || !answerStream.events().resumable()) {
+    if (!upstreamChoice.anyUnlimited(region, rank) || !answerStream.events().resumable()) {
       return false;
     }
     retryGranted = mayRetry();
@@ -489,7 +536,28 @@
   @Override
   public void onConnected() {
     // Cancels the attempt before the request is written if the caller has disconnected meanwhile.
-    exchange.detectCallerGone();
+    if (!exchange.detectCallerGone()) {
+      placeAgainIfBlocked();
+    }
+  }
+
+  /** Chooses another upstream if a rule has blocked the current one before the request was sent. */
+  private void placeAgainIfBlocked() {
+    UpstreamAttempt currentAttempt = attempt;
+    if (requestEnded || currentAttempt == null) {
+      return;
+    }
+    boolean blocked =
+        components
+            .eligibility()
+            .clear(currentAttempt.upstream(), scope(), permitHeld, components.loop().now())
+            .isEmpty();
+    if (blocked) {
+      currentAttempt.cancel();
+      attempt = null;
+      attemptCount--;
+      callUpstream(lastForwardedEventId());
+    }
   }
 
   @Override
--- a/gateway/src/main/java/org/oriolewell/gateway/StageCoordinator.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageCoordinator.java
@@ -12,6 +12,9 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.EligibilityCheck;
+import org.oriolewell.core.eligibility.EvacuatedZones;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.RouteTable;
 import org.oriolewell.core.route.ServiceSpec;
@@ -87,6 +90,8 @@
   private final Map<DispatcherKey, PublishedLoad> publishedLoads = new HashMap<>();
   private final Map<String, WireConnection> originConnections = new HashMap<>();
   private @Nullable PeerMesh mesh;
+  private EligibilityCheck eligibility = EligibilityCheck.of(List.of());
+  private EvacuatedZones evacuatedZones = EvacuatedZones.create();
   private long nextTicket = 1;
   private long ticks;
 
@@ -106,8 +111,10 @@
   }
 
   /** Sets the connections to the other gateways and starts the periodic checks. */
-  void start(PeerMesh peerMesh) {
+  void start(PeerMesh peerMesh, EligibilityCheck eligibilityCheck, EvacuatedZones evacuated) {
     mesh = peerMesh;
+    eligibility = eligibilityCheck;
+    evacuatedZones = evacuated;
     loop.every(TICK_INTERVAL, this::tick);
   }
 
@@ -282,6 +289,11 @@
         .orElse("");
   }
 
+  /** Returns whether the upstream that holds a result is in an evacuated zone. */
+  boolean resultLost(String service, String handle) {
+    return evacuatedZones.size() > 0 && evacuatedZones.contains(producerZone(service, handle));
+  }
+
   /** Frees stage results at the upstreams of a service that hold them. */
   void release(String service, String region, List<String> handles) {
     if (handles.isEmpty()) {
@@ -315,6 +327,8 @@
             log,
             dispatcherKey.service(),
             stageService.get(),
+            eligibility,
+            new CallScope(Set.of(dispatcherKey.region()), 0),
             this::reportOutcomes);
     dispatchers.put(dispatcherKey, newDispatcher);
     newDispatcher.upstreams(upstreams(dispatcherKey));
