Send nothing to upstreams that leave or pause

Cause: a gateway sent requests, stage calls and calls that free results to an upstream that had stated to leave until the store said so, and repeated requests to one that had answered 503 with Retry-After.

A request that waits for a permit or a connection is checked again and is placed again if its upstream leaves or pauses. If all upstreams of a service pause, requests are refused at once with the earliest end as Retry-After.

--- a/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
@@ -105,6 +105,7 @@
 
   private final StageService service;
   private final String serviceName;
+  private final SendRule sendRule;
   private final Map<String, UpstreamState> upstreamStates = new LinkedHashMap<>();
   private final PermitIssuer permits = PermitIssuer.create();
   private final Map<WorkId, PendingWork> pendingWork = new LinkedHashMap<>();
@@ -206,14 +207,27 @@
 
   private record StoredResult(long bytes, long storedAt, long expiresAt) {}
 
-  private StageQueue(String serviceName, StageService service) {
+  /** Says which upstreams may be sent to, besides what the queue itself observes. */
+  @FunctionalInterface
+  public interface SendRule {
+    /** Returns whether a call may be sent to an upstream now. */
+    boolean maySend(UpstreamInstance upstream, long now);
+  }
+
+  private StageQueue(String serviceName, StageService service, SendRule sendRule) {
     this.serviceName = serviceName;
     this.service = service;
+    this.sendRule = sendRule;
   }
 
-  /** Returns an empty queue for the stages of a service. */
+  /** Returns an empty queue for the stages of a service, which may call all its upstreams. */
   public static StageQueue create(String serviceName, StageService service) {
-    return new StageQueue(serviceName, service);
+    return create(serviceName, service, (upstream, now) -> true);
+  }
+
+  /** Returns an empty queue for the stages of a service. */
+  public static StageQueue create(String serviceName, StageService service, SendRule sendRule) {
+    return new StageQueue(serviceName, service, sendRule);
   }
 
   /** Replaces the list of upstreams; calls that run at a removed upstream continue. */
@@ -332,7 +346,7 @@
     for (UpstreamState upstream : upstreamStates.values()) {
       expireResults(upstream, now);
       if (upstream.runningCalls < service.slots()
-          && now >= upstream.pausedUntil
+          && available(upstream, now)
           && callPermitted(upstream, now)) {
         freeUpstreams.add(upstream);
       }
@@ -348,6 +362,10 @@
     return callsToSend;
   }
 
+  private boolean available(UpstreamState upstream, long now) {
+    return now >= upstream.pausedUntil && sendRule.maySend(upstream.instance, now);
+  }
+
   private @Nullable StageCall assembleCall(UpstreamState upstream, long now) {
     List<StageCall.Item> items = new ArrayList<>();
     long freeSpaceBytes =
@@ -388,7 +406,7 @@
         || now - pending.addedAt >= PREFERRED_ZONE_WAIT.toNanos()
         || now >= pending.work.latestStart()
         || upstreamStates.values().stream()
-            .noneMatch(other -> inPreferredZone(other, pending) && now >= other.pausedUntil);
+            .noneMatch(other -> inPreferredZone(other, pending) && available(other, now));
   }
 
   private static boolean isLate(PendingWork pending, long now) {
@@ -672,7 +690,7 @@
     int usableUpstreams = 0;
     long minResidualNanos = Long.MAX_VALUE;
     for (UpstreamState upstream : upstreamStates.values()) {
-      if (now >= upstream.pausedUntil) {
+      if (available(upstream, now)) {
         usableUpstreams++;
         minResidualNanos = Math.min(minResidualNanos, residualNanos(upstream, now));
       }
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -63,6 +63,7 @@
   private final ControlPlane control;
   private final AnswerMemory answerMemory;
   private final UpstreamClient client;
+  private final UpstreamStatements statements;
   private final StageCoordinator stageCoordinator;
   private final PeerMesh mesh;
   private final RequestIntake intake;
@@ -105,8 +106,10 @@
     PrometheusRegistry registry = new PrometheusRegistry();
     final GatewayMetrics metrics = GatewayMetrics.register(registry);
     final UpstreamHealth health = UpstreamHealth.create();
+    statements = new UpstreamStatements(loop, control, metrics, log);
     stageCoordinator =
-        new StageCoordinator(loop, control, client, platformAdapter.stageDialect(), regions, log);
+        new StageCoordinator(
+            loop, control, client, platformAdapter.stageDialect(), regions, statements, log);
     mesh =
         PeerMesh.start(
             loop, control, stageCoordinator, settings.value(GatewaySettings.PEER_ADDRESS), log);
@@ -134,6 +137,7 @@
                 () -> control.peers().size() + 1),
             crashGuard,
             new UpstreamLimits(loop, control, mesh, regions, exchange, log),
+            statements,
             stopGate,
             settings.value(GatewaySettings.MAX_ANSWER_BYTES),
             metrics,
@@ -151,6 +155,7 @@
               metrics.setBufferedBytes(answerMemory.bytes());
               metrics.setViewAge(control.ageMillis() / 1000.0);
               metrics.setQuarantined(crashGuard.quarantinedCount());
+              statements.updateMetrics();
             });
     EventLoop.Listener operatorListener =
         listenHttp(settings.value(GatewaySettings.OPERATOR_ADDRESS), operatorsHandler);
@@ -194,6 +199,7 @@
     stageCoordinator.start(mesh);
     control.start();
     loop.every(IDLE_SWEEP_INTERVAL, client::closeStale);
+    statements.start();
   }
 
   private boolean ready() {
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayComponents.java
@@ -27,6 +27,7 @@
  * @param retryBudget limit on retries, shared by all gateways
  * @param crashGuard quarantine of prompt parts that crash engines
  * @param upstreamLimits limits that upstreams name in their answers
+ * @param upstreamStatements what upstreams state about themselves in their answers
  * @param stopGate decides which requests are started and sent during a stop
  * @param maxAnswerBytes largest accepted body of an upstream's answer, and largest event of a
  *     stream, in bytes
@@ -48,6 +49,7 @@
     SharedRetryBudget retryBudget,
     CrashGuard crashGuard,
     UpstreamLimits upstreamLimits,
+    UpstreamStatements upstreamStatements,
     StopGate stopGate,
     int maxAnswerBytes,
     GatewayMetrics metrics,
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -88,6 +88,25 @@
       Level.WARNING,
       "The answers in progress take up more memory than upstreams.max_buffered_bytes allows; the"
           + " largest ones were ended."),
+  UPSTREAM_LEAVING(
+      8080,
+      Level.INFO,
+      "An upstream stated in an answer that it leaves; this gateway sends it nothing more."),
+  UPSTREAM_PAUSED(
+      8081,
+      Level.INFO,
+      "An upstream asked for a pause in an answer; this gateway sends it nothing until its end."),
+  UPSTREAM_RESUMED(8082, Level.INFO, "The first request after a pause is sent to an upstream."),
+  STATEMENT_ODD(
+      8083,
+      Level.WARNING,
+      "An upstream stated values about itself that cannot be read or are out of bounds; the field"
+          + " problems says what is used instead. Reported once a minute for each upstream."),
+  REQUEST_WITHDRAWN(
+      8084,
+      Level.INFO,
+      "A request was not written to its upstream, which has stated to leave or pause meanwhile;"
+          + " another upstream is chosen."),
   REQUEST_STEP_FAILED(
       8060, Level.SEVERE, "The processing of a request failed with an exception; it was ended.");
 
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
@@ -21,6 +21,9 @@
   private final Gauge bufferedBytes;
   private final Gauge viewAge;
   private final Gauge quarantinedParts;
+  private final Gauge restrictedUpstreams;
+  private final Counter statements;
+  private final Counter withdrawals;
 
   private GatewayMetrics(PrometheusRegistry registry) {
     requests =
@@ -74,6 +77,24 @@
             .name("oriolewell_gateway_quarantined_prompt_parts")
             .help("Prompt parts whose requests are refused since they crash engines.")
             .register(registry);
+    restrictedUpstreams =
+        Gauge.builder()
+            .name("oriolewell_gateway_restricted_upstreams")
+            .help("Upstreams that get no requests since they have stated to leave or pause.")
+            .labelNames("reason")
+            .register(registry);
+    statements =
+        Counter.builder()
+            .name("oriolewell_gateway_upstream_statements_total")
+            .help("Statements of upstreams that changed what is sent to them, or were odd.")
+            .labelNames("kind")
+            .register(registry);
+    withdrawals =
+        Counter.builder()
+            .name("oriolewell_gateway_withdrawn_requests_total")
+            .help("Requests and calls that were placed again before they were written.")
+            .labelNames("reason")
+            .register(registry);
   }
 
   /** Creates the metrics and registers them. */
@@ -121,6 +142,22 @@
     quarantinedParts.set(partCount);
   }
 
+  /** Sets the numbers of upstreams that leave and that pause. */
+  void setRestrictedUpstreams(int leavingCount, int pausedCount) {
+    restrictedUpstreams.labelValues("leaving").set(leavingCount);
+    restrictedUpstreams.labelValues("paused").set(pausedCount);
+  }
+
+  /** Counts a statement of an upstream, by its kind. */
+  void upstreamStated(String kind) {
+    statements.labelValues(kind).inc();
+  }
+
+  /** Counts a request or call that was not written since its upstream leaves or pauses. */
+  void requestWithdrawn(String reason) {
+    withdrawals.labelValues(reason).inc();
+  }
+
   /** Sets the age of the copy of the configuration; -1 if it was never confirmed. */
   void setViewAge(double seconds) {
     viewAge.set(seconds);
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
@@ -82,7 +82,7 @@
   private Estimate estimate(StageProgress progress, String region) {
     boolean ownRegion = region.equals(components.control().self().region());
     boolean hasUpstream =
-        components.control().roster().usable(serviceName).stream()
+        components.upstreamStatements().sendable(serviceName).stream()
             .anyMatch(upstream -> components.regions().regionOf(upstream.zone()).equals(region));
     return hasUpstream
         ? new Estimate(
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestDialect.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestDialect.java
@@ -2,10 +2,10 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.OptionalDouble;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.roster.UpstreamInstance;
+import org.oriolewell.core.upstream.UpstreamStatement;
 
 /** Decodes the headers of callers and upstreams, and encodes the gateway's own. */
 public interface RequestDialect {
@@ -61,14 +61,14 @@
    *     not and will not execute the request
    * @param misdirected whether it carries the attempt's identifier and states that the address now
    *     belongs to another upstream
-   * @param limitPerSecond requests a second that the upstream takes from all gateways together;
-   *     empty if it names no limit
+   * @param statement what the answer states about the upstream; nothing but a limit unless it is
+   *     authentic or not executed
    */
   record AnswerProperties(
-      boolean authentic, boolean notExecuted, boolean misdirected, OptionalDouble limitPerSecond) {
+      boolean authentic, boolean notExecuted, boolean misdirected, UpstreamStatement statement) {
     /** Properties of an answer that has not been received. */
     static final AnswerProperties NONE =
-        new AnswerProperties(false, false, false, OptionalDouble.empty());
+        new AnswerProperties(false, false, false, UpstreamStatement.NONE);
   }
 
   /** Decodes a caller's headers; a malformed value counts as missing. */
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -185,6 +185,10 @@
     if (heldBack()) {
       return;
     }
+    if (upstreamChoice.earliestPauseEnd().isPresent()) {
+      refuseWithoutUpstream();
+      return;
+    }
     if (intent.pieceCounts().stream().anyMatch(pieces -> pieces > 0)) {
       decideAdmission();
     } else {
@@ -367,6 +371,9 @@
     if (!granted) {
       upstreamChoice.permitRefused(upstream);
       callUpstream(lastEventId);
+    } else if (!components.upstreamStatements().maySend(upstream)) {
+      components.upstreamStatements().withdrawn(upstream, requestId());
+      callUpstream(lastEventId);
     } else if (trialSubject != null || !heldBack()) {
       sendTo(upstream, lastEventId);
     }
@@ -377,6 +384,11 @@
       fail("no other upstream is left", 502);
       return;
     }
+    Optional<Duration> pauseEnd = upstreamChoice.earliestPauseEnd();
+    if (pauseEnd.isPresent()) {
+      refuse("the upstreams of " + serviceName + " pause", "upstream pause", pauseEnd.get());
+      return;
+    }
     Optional<Duration> shortestBlock = upstreamChoice.shortestBlock(rank);
     if (shortestBlock.isPresent() || upstreamChoice.anyPermitRefused()) {
       Duration retryAfter =
@@ -409,6 +421,7 @@
     attemptCount++;
     sent = false;
     upstreamChoice.tried(upstream);
+    components.upstreamStatements().sent(upstream);
     if (attemptCount == 1) {
       components.retryBudget().attempted(serviceName);
     }
@@ -515,6 +528,12 @@
         status < 400 ? "answered" : "upstream_error", () -> exchange.reply(status, headers, body));
   }
 
+  @Override
+  public void onWithdrawn(UpstreamInstance upstream) {
+    attemptCount--;
+    callUpstream(lastForwardedEventId());
+  }
+
   @Override
   public void onConnectFailed(UpstreamInstance upstream, String reason) {
     attemptCount--;
@@ -536,7 +555,7 @@
     } else if (mayHaveExecuted) {
       fail(reason, 502);
     } else {
-      refuse(reason, "upstream full", FULL_RETRY_AFTER);
+      refuse(reason, "upstream full", upstreamChoice.earliestPauseEnd().orElse(FULL_RETRY_AFTER));
     }
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/StageCoordinator.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageCoordinator.java
@@ -81,6 +81,7 @@
   private final StageDialect dialect;
   private final EventLog log;
   private final Regions regions;
+  private final UpstreamStatements statements;
   private final Map<DispatcherKey, StageDispatcher> dispatchers = new HashMap<>();
   private final Map<Long, Submission> submissions = new HashMap<>();
   private final Map<DispatcherKey, StageLoad> loadsByDispatcher = new HashMap<>();
@@ -96,12 +97,14 @@
       UpstreamClient client,
       StageDialect dialect,
       Regions regions,
+      UpstreamStatements statements,
       EventLog log) {
     this.loop = loop;
     this.control = control;
     this.client = client;
     this.dialect = dialect;
     this.regions = regions;
+    this.statements = statements;
     this.log = log;
   }
 
@@ -312,6 +315,7 @@
             loop,
             client,
             dialect,
+            statements,
             log,
             dispatcherKey.service(),
             stageService.get(),
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDialect.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDialect.java
@@ -1,11 +1,11 @@
 package org.oriolewell.gateway;
 
 import java.util.List;
-import java.util.OptionalDouble;
 import org.eclipse.jetty.http.HttpFields;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.stage.PieceOutcome;
 import org.oriolewell.core.stage.StageCall;
+import org.oriolewell.core.upstream.UpstreamStatement;
 
 /** Encodes calls to the upstreams that run stages, and decodes their answers. */
 public interface StageDialect {
@@ -38,11 +38,8 @@
   /** Returns the request that frees results at the upstream that holds them. */
   UpstreamRequest releaseRequest(UpstreamInstance producer, List<String> handles);
 
-  /**
-   * Returns the limit that an answer names, in requests a second for all gateways together; empty
-   * if it names none.
-   */
-  OptionalDouble limitPerSecond(HttpFields answerHeaders);
+  /** Returns what the head of an answer states about the upstream that sent it. */
+  UpstreamStatement statement(int status, HttpFields answerHeaders);
 
   /** Returns the IP address and port of the upstream that produced a result and holds it. */
   String producerAddress(String handle);
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -20,6 +20,7 @@
 import org.oriolewell.core.stage.StageLoad;
 import org.oriolewell.core.stage.StageQueue;
 import org.oriolewell.core.stage.StageWork;
+import org.oriolewell.core.upstream.UpstreamStatement;
 import org.oriolewell.gateway.StageDialect.MalformedAnswerException;
 import org.oriolewell.runtime.log.EventLog;
 import org.oriolewell.runtime.net.EventLoop;
@@ -46,6 +47,7 @@
   private final EventLoop loop;
   private final UpstreamClient client;
   private final StageDialect dialect;
+  private final UpstreamStatements statements;
   private final EventLog log;
   private final String service;
   private final StageQueue queue;
@@ -58,6 +60,7 @@
       EventLoop loop,
       UpstreamClient client,
       StageDialect dialect,
+      UpstreamStatements statements,
       EventLog log,
       String service,
       StageService stageService,
@@ -65,9 +68,10 @@
     this.loop = loop;
     this.client = client;
     this.dialect = dialect;
+    this.statements = statements;
     this.log = log;
     this.service = service;
-    this.queue = StageQueue.create(service, stageService);
+    this.queue = StageQueue.create(service, stageService, statements::maySend);
     this.outcomeListener = outcomeListener;
   }
 
@@ -137,6 +141,7 @@
         .with("requests", call.items().stream().map(i -> i.work().requestId()).distinct().toList())
         .with("waiting", queue.waitingPieces())
         .write();
+    statements.sent(call.upstream());
     new RunningCall(call, now).start();
   }
 
@@ -177,10 +182,18 @@
       }
     }
 
+    @Override
+    public void onConnected() {
+      if (!callEnded && !statements.mayStillSend(call.upstream())) {
+        statements.withdrawn(call.upstream(), "call " + call.id());
+        failCall("the upstream leaves or pauses, the call was not sent", true);
+      }
+    }
+
     @Override
     public void onHead(int answerStatus, HttpFields headers) {
       super.onHead(answerStatus, headers);
-      recordLimit(call.upstream(), headers);
+      recordStatement(call.upstream(), answerStatus, headers);
     }
 
     @Override
@@ -237,8 +250,10 @@
     }
   }
 
-  private void recordLimit(UpstreamInstance upstream, HttpFields headers) {
-    OptionalDouble perSecond = dialect.limitPerSecond(headers);
+  private void recordStatement(UpstreamInstance upstream, int status, HttpFields headers) {
+    UpstreamStatement statement = dialect.statement(status, headers);
+    statements.statedToDispatcher(upstream, statement);
+    OptionalDouble perSecond = statement.limitPerSecond();
     if (queue.limitStated(upstream.id(), perSecond)) {
       log.event(GatewayEvent.UPSTREAM_LIMITED)
           .with("upstream", upstream.id())
@@ -267,51 +282,83 @@
     handlesByAddress.forEach(
         (address, handles) -> {
           UpstreamInstance producer = upstreamsByAddress.get(address);
-          if (producer != null && queue.takeReleasePermit(producer.id(), loop.now())) {
-            sendRelease(producer, handles);
+          if (producer != null
+              && statements.maySend(producer)
+              && queue.takeReleasePermit(producer.id(), loop.now())) {
+            new ReleaseCall(producer, handles).start();
           }
         });
   }
 
-  private void sendRelease(UpstreamInstance producer, List<String> handles) {
-    boolean[] callEnded = new boolean[1];
-    UpstreamClient.Call call =
-        client.send(
-            UpstreamClient.poolKey(producer),
-            producer.address(),
-            dialect.releaseRequest(producer, handles),
-            new BufferedAnswer(MAX_STAGE_ANSWER_BYTES, MAX_STAGE_ANSWER_BYTES_NAME) {
-              @Override
-              public void onHead(int answerStatus, HttpFields headers) {
-                super.onHead(answerStatus, headers);
-                recordLimit(producer, headers);
-              }
-
-              @Override
-              public void onComplete() {
-                callEnded[0] = true;
-                if (status() == HttpStatus.OK_200) {
-                  queue.freed(handles, loop.now());
-                  sendNextCalls();
-                } else {
-                  logReleaseFailure(producer, new IOException("status " + status()));
-                }
-              }
-
-              @Override
-              public void onFailure(boolean mayHaveBeenSent, Throwable cause) {
-                callEnded[0] = true;
-                logReleaseFailure(producer, cause);
-              }
-            });
-    loop.after(
-        RELEASE_TIMEOUT,
-        () -> {
-          if (!callEnded[0]) {
-            call.cancel();
-            logReleaseFailure(producer, new IOException("no answer"));
-          }
-        });
+  /** A call that frees results. It is not repeated: results that are not freed expire. */
+  private final class ReleaseCall extends BufferedAnswer {
+    private final UpstreamInstance producer;
+    private final List<String> handles;
+    private UpstreamClient.@Nullable Call clientCall;
+    private boolean callEnded;
+
+    private ReleaseCall(UpstreamInstance producer, List<String> handles) {
+      super(MAX_STAGE_ANSWER_BYTES, MAX_STAGE_ANSWER_BYTES_NAME);
+      this.producer = producer;
+      this.handles = handles;
+    }
+
+    private void start() {
+      statements.sent(producer);
+      clientCall =
+          client.send(
+              UpstreamClient.poolKey(producer),
+              producer.address(),
+              dialect.releaseRequest(producer, handles),
+              this);
+      loop.after(
+          RELEASE_TIMEOUT,
+          () -> {
+            if (!callEnded) {
+              cancel();
+              logReleaseFailure(producer, new IOException("no answer"));
+            }
+          });
+    }
+
+    private void cancel() {
+      callEnded = true;
+      UpstreamClient.Call currentCall = clientCall;
+      if (currentCall != null) {
+        currentCall.cancel();
+      }
+    }
+
+    @Override
+    public void onConnected() {
+      if (!callEnded && !statements.mayStillSend(producer)) {
+        cancel();
+        statements.withdrawn(producer, "release");
+      }
+    }
+
+    @Override
+    public void onHead(int answerStatus, HttpFields headers) {
+      super.onHead(answerStatus, headers);
+      recordStatement(producer, answerStatus, headers);
+    }
+
+    @Override
+    public void onComplete() {
+      callEnded = true;
+      if (status() == HttpStatus.OK_200) {
+        queue.freed(handles, loop.now());
+        sendNextCalls();
+      } else {
+        logReleaseFailure(producer, new IOException("status " + status()));
+      }
+    }
+
+    @Override
+    public void onFailure(boolean mayHaveBeenSent, Throwable cause) {
+      callEnded = true;
+      logReleaseFailure(producer, cause);
+    }
   }
 
   private void logReleaseFailure(UpstreamInstance producer, Throwable cause) {
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -61,6 +61,12 @@
     /** Ends the attempt: a complete answer that is no stream was received. */
     void onAnswer(int status, HttpFields headers, byte[] body);
 
+    /**
+     * Ends the attempt: the request was not written, since the upstream has stated meanwhile that
+     * it leaves or pauses.
+     */
+    void onWithdrawn(UpstreamInstance upstream);
+
     /** Ends the attempt: no connection could be opened, so the request was not sent. */
     void onConnectFailed(UpstreamInstance upstream, String reason);
 
@@ -98,7 +104,9 @@
   private boolean streaming;
   private boolean firstByteReported;
   private long firstByteAt;
-  private boolean connectFailed;
+
+  /** Whether the attempt has ended before the request was written. */
+  private boolean endedUnsent;
 
   /** Whether the answer has neither a length nor chunks and ends with its connection. */
   private boolean endsAtClose;
@@ -155,7 +163,7 @@
 
   /** Returns whether the upstream may have received the request. */
   boolean mayHaveBeenSent() {
-    return !connectFailed;
+    return !endedUnsent;
   }
 
   /** Cancels the attempt; the listener isn't called any more. */
@@ -205,8 +213,16 @@
 
   @Override
   public void onConnected() {
-    if (!attemptEnded) {
+    if (attemptEnded) {
+      return;
+    }
+    if (components.upstreamStatements().mayStillSend(upstream)) {
       listener.onConnected();
+    } else {
+      endedUnsent = true;
+      cancel();
+      components.upstreamStatements().withdrawn(upstream, requestId);
+      listener.onWithdrawn(upstream);
     }
   }
 
@@ -228,7 +244,8 @@
         !headers.contains(HttpHeader.CONTENT_LENGTH)
             && !headers.contains(HttpHeader.TRANSFER_ENCODING);
     answerProperties = components.dialect().checkAnswer(requestId, status, headers);
-    components.upstreamLimits().stated(upstream, answerProperties.limitPerSecond());
+    components.upstreamLimits().stated(upstream, answerProperties.statement().limitPerSecond());
+    components.upstreamStatements().stated(upstream, answerProperties.statement());
     String type = headers.get(HttpHeader.CONTENT_TYPE);
     streaming =
         route.kind() == RequestKind.STREAMING
@@ -414,7 +431,7 @@
       endIncomplete(cause.toString());
       return;
     }
-    connectFailed = true;
+    endedUnsent = true;
     finish();
     components.health().failed(upstream.id(), UNREACHABLE_FAILURE_WEIGHT, components.loop().now());
     logFailure(cause.toString());
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamChoice.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamChoice.java
@@ -89,13 +89,21 @@
         .min(Comparator.naturalOrder());
   }
 
+  /**
+   * Returns the earliest end of the pauses if nothing may be sent to any upstream of the service
+   * and one of them pauses; empty otherwise.
+   */
+  Optional<Duration> earliestPauseEnd() {
+    return components.upstreamStatements().earliestPauseEnd(serviceName);
+  }
+
   private boolean permitPossible(UpstreamInstance upstream, int rank) {
     return !permitRefusals.contains(upstream.id())
         && components.upstreamLimits().blockedTime(upstream, rank).isZero();
   }
 
   private List<UpstreamInstance> usableUpstreams(Predicate<UpstreamInstance> condition) {
-    List<UpstreamInstance> usable = components.control().roster().usable(serviceName);
+    List<UpstreamInstance> usable = components.upstreamStatements().sendable(serviceName);
     return components.upstreamLimits().anyLimited()
         ? usable.stream().filter(condition).toList()
         : usable;
--- /dev/null
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamStatements.java
@@ -0,0 +1,177 @@
+package org.oriolewell.gateway;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.oriolewell.core.roster.UpstreamInstance;
+import org.oriolewell.core.upstream.Incarnation;
+import org.oriolewell.core.upstream.ResumeTurn;
+import org.oriolewell.core.upstream.UpstreamRecords;
+import org.oriolewell.core.upstream.UpstreamRecords.Change;
+import org.oriolewell.core.upstream.UpstreamStatement;
+import org.oriolewell.runtime.log.EventLog;
+import org.oriolewell.runtime.net.EventLoop;
+
+/**
+ * Keeps what upstreams state about themselves in their answers to this gateway, and says which of
+ * them may be sent to. The store and the other gateways have no part in it.
+ *
+ * <p>Used on the event loop only.
+ */
+final class UpstreamStatements {
+  /** Interval at which ended pauses and records of removed upstreams are dropped. */
+  private static final Duration FORGET_INTERVAL = Duration.ofSeconds(2);
+
+  /** Rounds a time up to the resolution of the header that carries it. */
+  private static final Duration RETRY_AFTER_RESOLUTION = Duration.ofMillis(1);
+
+  private final EventLoop loop;
+  private final ControlPlane control;
+  private final GatewayMetrics metrics;
+  private final EventLog log;
+  private final UpstreamRecords records = UpstreamRecords.create();
+
+  UpstreamStatements(EventLoop loop, ControlPlane control, GatewayMetrics metrics, EventLog log) {
+    this.loop = loop;
+    this.control = control;
+    this.metrics = metrics;
+    this.log = log;
+  }
+
+  /** Starts the periodic checks. */
+  void start() {
+    loop.every(FORGET_INTERVAL, () -> records.forget(this::listed, loop.now()));
+  }
+
+  private boolean listed(Incarnation incarnation) {
+    return control
+        .roster()
+        .find(incarnation.id())
+        .filter(upstream -> Incarnation.of(upstream).equals(incarnation))
+        .isPresent();
+  }
+
+  /** Records what an answer to a caller's request states about its upstream. */
+  void stated(UpstreamInstance upstream, UpstreamStatement statement) {
+    if (statement.isPresent()) {
+      record(upstream, statement, statement.pause().isPresent() ? turn(upstream) : alone(upstream));
+    }
+  }
+
+  /** Records what an answer to a dispatcher states, the only gateway that calls the upstream. */
+  void statedToDispatcher(UpstreamInstance upstream, UpstreamStatement statement) {
+    if (statement.isPresent()) {
+      record(upstream, statement, alone(upstream));
+    }
+  }
+
+  private static ResumeTurn alone(UpstreamInstance upstream) {
+    return ResumeTurn.alone(Math.max(1, upstream.slots()));
+  }
+
+  private ResumeTurn turn(UpstreamInstance upstream) {
+    return ResumeTurn.of(
+        Incarnation.of(upstream),
+        Math.max(1, upstream.slots()),
+        control.self().name(),
+        control.peers().stream().map(ControlFeed.Peer::name).toList());
+  }
+
+  private void record(UpstreamInstance upstream, UpstreamStatement statement, ResumeTurn turn) {
+    Change change = records.stated(upstream, statement, turn, loop.now());
+    if (change.leaving()) {
+      metrics.upstreamStated("leaving");
+      log.event(GatewayEvent.UPSTREAM_LEAVING)
+          .with("upstream", upstream.id())
+          .with("service", upstream.service())
+          .with("zone", upstream.zone())
+          .write();
+    }
+    if (change.paused()) {
+      metrics.upstreamStated("pause");
+      log.event(GatewayEvent.UPSTREAM_PAUSED)
+          .with("upstream", upstream.id())
+          .with("service", upstream.service())
+          .with("pause_ms", statement.pause().map(Duration::toMillis).orElse(0L))
+          .with("turn", turn.position())
+          .with("gateways", turn.gateways())
+          .write();
+    }
+    if (!statement.problems().isEmpty()) {
+      metrics.upstreamStated("odd");
+    }
+    if (change.reportProblems()) {
+      log.event(GatewayEvent.STATEMENT_ODD)
+          .with("upstream", upstream.id())
+          .with("problems", statement.problems())
+          .write();
+    }
+  }
+
+  /** Returns the usable upstreams of a service that a request may be sent to now. */
+  List<UpstreamInstance> sendable(String service) {
+    List<UpstreamInstance> usable = control.roster().usable(service);
+    return records.unrestricted() ? usable : usable.stream().filter(this::maySend).toList();
+  }
+
+  /** Returns whether a request may be sent to an upstream now. */
+  boolean maySend(UpstreamInstance upstream) {
+    return maySend(upstream, loop.now());
+  }
+
+  /** Returns whether a request may be sent to an upstream at a time. */
+  boolean maySend(UpstreamInstance upstream, long now) {
+    return records.unrestricted()
+        || (!records.leaving(upstream) && records.blockedFor(upstream, now).isZero());
+  }
+
+  /**
+   * Returns whether a request may still be written to an upstream that was chosen for it before,
+   * and that it was counted for by {@link #sent}.
+   */
+  boolean mayStillSend(UpstreamInstance upstream) {
+    return !records.leaving(upstream) && !records.paused(upstream, loop.now());
+  }
+
+  /** Counts a request for which an upstream was chosen. */
+  void sent(UpstreamInstance upstream) {
+    if (records.sent(upstream)) {
+      log.event(GatewayEvent.UPSTREAM_RESUMED)
+          .with("upstream", upstream.id())
+          .with("service", upstream.service())
+          .write();
+    }
+  }
+
+  /** Records that a request or a call was not written, and is placed again. */
+  void withdrawn(UpstreamInstance upstream, String request) {
+    String reason = records.leaving(upstream) ? "leaving" : "paused";
+    metrics.requestWithdrawn(reason);
+    log.event(GatewayEvent.REQUEST_WITHDRAWN)
+        .with("request", request)
+        .with("upstream", upstream.id())
+        .with("reason", reason)
+        .write();
+  }
+
+  /**
+   * Returns the time until the first upstream of a service may be sent to again, if all that don't
+   * leave pause; empty otherwise.
+   */
+  Optional<Duration> earliestPauseEnd(String service) {
+    if (records.unrestricted() || !sendable(service).isEmpty()) {
+      return Optional.empty();
+    }
+    long now = loop.now();
+    return control.roster().usable(service).stream()
+        .filter(upstream -> !records.leaving(upstream))
+        .map(upstream -> records.blockedFor(upstream, now).plus(RETRY_AFTER_RESOLUTION))
+        .min(Comparator.naturalOrder());
+  }
+
+  /** Sets the metrics of the upstreams that get no requests. */
+  void updateMetrics() {
+    metrics.setRestrictedUpstreams(records.leavingCount(), records.pausedCount(loop.now()));
+  }
+}
