--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamStatements.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamStatements.java
@@ -109,10 +109,9 @@
     }
   }
 
-  /** Returns the usable upstreams of a service that a request may be sent to now. */
-  List<UpstreamInstance> sendable(String service) {
-    List<UpstreamInstance> usable = control.roster().usable(service);
-    return records.unrestricted() ? usable : usable.stream().filter(this::maySend).toList();
+  /** Returns those of a list of upstreams that a request may be sent to now. */
+  List<UpstreamInstance> sendable(List<UpstreamInstance> upstreams) {
+    return records.unrestricted() ? upstreams : upstreams.stream().filter(this::maySend).toList();
   }
 
   /** Returns whether a request may be sent to an upstream now. */
@@ -155,16 +154,23 @@
         .write();
   }
 
+  /** Returns whether all of a list of upstreams that don't leave pause, and there is one. */
+  boolean allPaused(List<UpstreamInstance> upstreams) {
+    return !records.unrestricted()
+        && upstreams.stream().noneMatch(this::mayStillSend)
+        && upstreams.stream().anyMatch(upstream -> !records.leaving(upstream));
+  }
+
   /**
-   * Returns the time until the first upstream of a service may be sent to again, if all that don't
-   * leave pause; empty otherwise.
+   * Returns the time until the first of a list of upstreams may be sent to again, if all that don't
+   * leave pause or wait for this gateway's turn after their pause; empty otherwise.
    */
-  Optional<Duration> earliestPauseEnd(String service) {
-    if (records.unrestricted() || !sendable(service).isEmpty()) {
+  Optional<Duration> earliestPauseEnd(List<UpstreamInstance> upstreams) {
+    if (records.unrestricted() || upstreams.stream().anyMatch(this::maySend)) {
       return Optional.empty();
     }
     long now = loop.now();
-    return control.roster().usable(service).stream()
+    return upstreams.stream()
         .filter(upstream -> !records.leaving(upstream))
         .map(upstream -> records.blockedFor(upstream, now).plus(RETRY_AFTER_RESOLUTION))
         .min(Comparator.naturalOrder());
