--- a/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
+++ b/core/src/main/java/org/oriolewell/core/stage/StageQueue.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.eligibility.Eligibility;
 import org.oriolewell.core.ratelimit.PermitIssuer;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.StageService;
@@ -105,9 +106,9 @@
 
   private final StageService service;
   private final String serviceName;
-  private final SendRule sendRule;
   private final Map<String, UpstreamState> upstreamStates = new LinkedHashMap<>();
   private final PermitIssuer permits = PermitIssuer.create();
+  private CallRule callRule = (upstream, now) -> Eligibility.ALLOWED;
   private final Map<WorkId, PendingWork> pendingWork = new LinkedHashMap<>();
   private final Map<WorkId, AnnouncedWork> announcedWork = new HashMap<>();
   private final Map<Long, RunningCall> runningCalls = new HashMap<>();
@@ -121,6 +122,13 @@
     }
   }
 
+  /** Decides whether a call may be sent to an upstream now. */
+  @FunctionalInterface
+  public interface CallRule {
+    /** Returns the verdict on a call to an upstream. */
+    Eligibility check(UpstreamInstance upstream, long now);
+  }
+
   private record AnnouncedWork(int rank, long resultBytes, int pieces, long expiresAt) {}
 
   /**
@@ -207,27 +215,19 @@
 
   private record StoredResult(long bytes, long storedAt, long expiresAt) {}
 
-  /** Says which upstreams may be sent to, besides what the queue itself observes. */
-  @FunctionalInterface
-  public interface SendRule {
-    /** Returns whether a call may be sent to an upstream now. */
-    boolean maySend(UpstreamInstance upstream, long now);
-  }
-
-  private StageQueue(String serviceName, StageService service, SendRule sendRule) {
+  private StageQueue(String serviceName, StageService service) {
     this.serviceName = serviceName;
     this.service = service;
-    this.sendRule = sendRule;
   }
 
-  /** Returns an empty queue for the stages of a service, which may call all its upstreams. */
+  /** Returns an empty queue for the stages of a service. */
   public static StageQueue create(String serviceName, StageService service) {
-    return create(serviceName, service, (upstream, now) -> true);
+    return new StageQueue(serviceName, service);
   }
 
-  /** Returns an empty queue for the stages of a service. */
-  public static StageQueue create(String serviceName, StageService service, SendRule sendRule) {
-    return new StageQueue(serviceName, service, sendRule);
+  /** Sets the rule that calls and requests that free results must pass. */
+  public void callRule(CallRule rule) {
+    callRule = rule;
   }
 
   /** Replaces the list of upstreams; calls that run at a removed upstream continue. */
@@ -318,27 +318,44 @@
    */
   public boolean takeReleasePermit(String upstreamId, long now) {
     UpstreamState upstream = upstreamStates.get(upstreamId);
-    return upstream == null
-        || upstream.limitPerSecond.isEmpty()
-        || permits
-            .issue(upstreamId, upstream.limitPerSecond.getAsDouble(), RELEASE_RANK, now)
-            .granted();
+    if (upstream == null) {
+      return true;
+    }
+    OptionalDouble rate = permitRate(upstream, now);
+    return !blocked(upstream, now)
+        && (rate.isEmpty()
+            || permits.issue(upstreamId, rate.getAsDouble(), RELEASE_RANK, now).granted());
   }
 
   private boolean callPermitted(UpstreamState upstream, long now) {
-    return upstream.limitPerSecond.isEmpty()
-        || permits
-            .missingTime(
-                upstream.instance.id(), upstream.limitPerSecond.getAsDouble(), CALL_RANK, now)
-            .isZero();
+    OptionalDouble rate = permitRate(upstream, now);
+    return rate.isEmpty()
+        || permits.missingTime(upstream.instance.id(), rate.getAsDouble(), CALL_RANK, now).isZero();
   }
 
   private void takeCallPermit(UpstreamState upstream, long now) {
-    if (upstream.limitPerSecond.isPresent()) {
-      permits.issue(upstream.instance.id(), upstream.limitPerSecond.getAsDouble(), CALL_RANK, now);
+    OptionalDouble rate = permitRate(upstream, now);
+    if (rate.isPresent()) {
+      permits.issue(upstream.instance.id(), rate.getAsDouble(), CALL_RANK, now);
     }
   }
 
+  /** Returns the lower one of the upstream's named limit and the rate of the call rule. */
+  private OptionalDouble permitRate(UpstreamState upstream, long now) {
+    return callRule.check(upstream.instance, now) instanceof Eligibility.PermitNeeded needed
+        ? OptionalDouble.of(
+            Math.min(needed.perSecond(), upstream.limitPerSecond.orElse(needed.perSecond())))
+        : upstream.limitPerSecond;
+  }
+
+  private boolean blocked(UpstreamState upstream, long now) {
+    return callRule.check(upstream.instance, now) instanceof Eligibility.Blocked;
+  }
+
+  private boolean available(UpstreamState upstream, long now) {
+    return now >= upstream.pausedUntil && !blocked(upstream, now);
+  }
+
   /** Returns the calls that the dispatcher has to send now, and counts them as running. */
   public List<StageCall> nextCalls(long now) {
     List<StageCall> callsToSend = new ArrayList<>();
@@ -362,10 +379,6 @@
     return callsToSend;
   }
 
-  private boolean available(UpstreamState upstream, long now) {
-    return now >= upstream.pausedUntil && sendRule.maySend(upstream.instance, now);
-  }
-
   private @Nullable StageCall assembleCall(UpstreamState upstream, long now) {
     List<StageCall.Item> items = new ArrayList<>();
     long freeSpaceBytes =
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -5,12 +5,16 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.oriolewell.core.eligibility.EligibilityCheck;
+import org.oriolewell.core.eligibility.EligibilityRule;
+import org.oriolewell.core.eligibility.RegionRule;
 import org.oriolewell.core.overload.CallerPatience;
 import org.oriolewell.core.overload.FirstByteTimes;
 import org.oriolewell.core.overload.ForecastBias;
@@ -64,6 +68,7 @@
   private final AnswerMemory answerMemory;
   private final UpstreamClient client;
   private final UpstreamStatements statements;
+  private final EligibilityCheck eligibility;
   private final StageCoordinator stageCoordinator;
   private final PeerMesh mesh;
   private final RequestIntake intake;
@@ -81,10 +86,13 @@
     loop = EventLoop.start("gateway", log, CONNECT_TIMEOUT, Gateway::endProcess);
     RequestDialect dialect = platformAdapter.requestDialect();
     answerMemory = new AnswerMemory(settings.value(GatewaySettings.MAX_BUFFERED_BYTES), log);
-    client = UpstreamClient.create(loop, dialect.attemptIdHeader(), answerMemory);
-    StoreCaller store =
-        StoreCaller.create(
-            loop, client, Ipv4SocketAddress.parse(settings.value(GatewaySettings.STORE_ADDRESS)));
+    client =
+        UpstreamClient.create(
+            loop,
+            dialect.attemptIdHeader(),
+            answerMemory,
+            Ipv4SocketAddress.parse(settings.value(GatewaySettings.STORE_ADDRESS)));
+    StoreCaller store = StoreCaller.create(loop, client);
     Peer self =
         new Peer(
             settings.value(GatewaySettings.NAME),
@@ -117,6 +125,11 @@
     mesh.observationListener(exchange);
     CrashGuard crashGuard = new CrashGuard(loop, control, feed, client, exchange, log);
     stopGate = new StopGate(loop);
+    UpstreamLimits upstreamLimits = new UpstreamLimits(loop, control, mesh, regions, exchange, log);
+    List<EligibilityRule> rules = new ArrayList<>(statements.rules());
+    rules.add(RegionRule.of(regions::regionOf));
+    rules.add(upstreamLimits);
+    eligibility = EligibilityCheck.of(rules);
     GatewayComponents components =
         new GatewayComponents(
             loop,
@@ -136,8 +149,9 @@
                 Duration.ofSeconds(settings.value(GatewaySettings.RETRY_WINDOW)),
                 () -> control.peers().size() + 1),
             crashGuard,
-            new UpstreamLimits(loop, control, mesh, regions, exchange, log),
+            upstreamLimits,
             statements,
+            eligibility,
             stopGate,
             settings.value(GatewaySettings.MAX_ANSWER_BYTES),
             metrics,
@@ -196,7 +210,7 @@
   private void startOnLoop() {
     control.onChange(mesh::updatePeers);
     control.onChange(stageCoordinator::refreshUpstreams);
-    stageCoordinator.start(mesh);
+    stageCoordinator.start(mesh, eligibility);
     control.start();
     loop.every(IDLE_SWEEP_INTERVAL, client::closeStale);
     statements.start();
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -7,6 +7,9 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.Eligibility;
+import org.oriolewell.core.eligibility.EligibleUpstream;
 import org.oriolewell.core.overload.StageAdmission.Decision;
 import org.oriolewell.core.quarantine.CrashQuarantine;
 import org.oriolewell.core.quarantine.CrashSubject;
@@ -189,14 +192,14 @@
       refuseForStop();
       return;
     }
-    if (allowedRegions.restricted() && !upstreamChoice.anyPermitted()) {
+    if (upstreamChoice.unreachable(rank)) {
       refuseWithoutUpstream();
       return;
     }
     if (heldBack()) {
       return;
     }
-    if (upstreamChoice.allPaused()) {
+    if (upstreamChoice.allPaused(rank)) {
       refuseWithoutUpstream();
       return;
     }
@@ -356,13 +359,15 @@
     if (trialSubject == null && heldBack()) {
       return;
     }
+    long now = components.loop().now();
     Optional<UpstreamInstance> chosenUpstream = upstreamChoice.next(region, rank);
     if (chosenUpstream.isEmpty()) {
       refuseWithoutUpstream();
-    } else if (components.upstreamLimits().limited(chosenUpstream.get())) {
+    } else if (components.eligibility().check(chosenUpstream.get(), scope(), now)
+        instanceof Eligibility.PermitNeeded) {
       requestPermit(chosenUpstream.get(), lastEventId);
     } else {
-      sendTo(chosenUpstream.get(), lastEventId);
+      sendTo(chosenUpstream.get(), false, lastEventId);
     }
   }
 
@@ -383,25 +388,26 @@
     if (!granted) {
       upstreamChoice.permitRefused(upstream);
       callUpstream(lastEventId);
-    } else if (!components.upstreamStatements().maySend(upstream)) {
-      components.upstreamStatements().withdrawn(upstream, requestId());
-      callUpstream(lastEventId);
     } else if (trialSubject != null || !heldBack()) {
-      sendTo(upstream, lastEventId);
+      sendTo(upstream, true, lastEventId);
     }
   }
 
+  private CallScope scope() {
+    return new CallScope(allowedRegions, rank);
+  }
+
   private void refuseWithoutUpstream() {
     if (mayHaveExecuted) {
       fail("no other upstream is left", 502);
       return;
     }
-    Optional<Duration> pauseEnd = upstreamChoice.earliestPauseEnd();
+    Optional<Duration> pauseEnd = upstreamChoice.earliestPauseEnd(rank);
     if (pauseEnd.isPresent()) {
       refuse("the upstreams of " + serviceName + " pause", "upstream pause", pauseEnd.get());
       return;
     }
-    Optional<Duration> shortestBlock = upstreamChoice.shortestBlock(rank);
+    Optional<Duration> shortestBlock = upstreamChoice.screen(rank).shortestBlock();
     if (shortestBlock.isPresent() || upstreamChoice.anyPermitRefused()) {
       Duration retryAfter =
           shortestBlock
@@ -417,11 +423,19 @@
     }
   }
 
-  private void sendTo(UpstreamInstance upstream, @Nullable String lastEventId) {
+  private void sendTo(UpstreamInstance upstream, boolean permitHeld, @Nullable String lastEventId) {
     if (exchange.detectCallerGone()) {
       return;
     }
     long now = components.loop().now();
+    Optional<EligibleUpstream> target =
+        components.eligibility().clear(upstream, scope(), permitHeld, now);
+    if (target.isEmpty()) {
+      // A rule has changed while the permit was asked for.
+      components.upstreamStatements().withdrawn(upstream, requestId());
+      callUpstream(lastEventId);
+      return;
+    }
     Duration remaining = Duration.ofNanos(deadline - now);
     if (remaining.toMillis() <= 0) {
       onTimeout();
@@ -471,7 +485,7 @@
             requestId());
     UpstreamAttempt newAttempt =
         new UpstreamAttempt(
-            components, guard, route, requestId(), crashSubjects, upstream, answerStream, this);
+            components, guard, route, requestId(), crashSubjects, target.get(), answerStream, this);
     attempt = newAttempt;
     attemptStartedAt = now;
     newAttempt.start(request, SilenceLimit.of(route, attemptCount).orElse(null));
@@ -479,7 +493,7 @@
 
   @Override
   public boolean mayReplaceSilentAttempt() {
-    if (!upstreamChoice.anyUnlimited(region) || !answerStream.events().resumable()) {
+    if (!upstreamChoice.anyUnlimited(region, rank) || !answerStream.events().resumable()) {
       return false;
     }
     retryGranted = mayRetry();
@@ -568,7 +582,8 @@
     } else if (mayHaveExecuted) {
       fail(reason, 502);
     } else {
-      refuse(reason, "upstream full", upstreamChoice.earliestPauseEnd().orElse(FULL_RETRY_AFTER));
+      refuse(
+          reason, "upstream full", upstreamChoice.earliestPauseEnd(rank).orElse(FULL_RETRY_AFTER));
     }
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -8,11 +8,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.BiConsumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
+import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.EligibilityCheck;
+import org.oriolewell.core.eligibility.EligibleUpstream;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.StageService;
 import org.oriolewell.core.stage.PieceOutcome;
@@ -51,6 +55,8 @@
   private final EventLog log;
   private final String service;
   private final StageQueue queue;
+  private final EligibilityCheck eligibility;
+  private final CallScope scope;
   private final BiConsumer<StageWork, List<PieceOutcome>> outcomeListener;
   private final Map<String, UpstreamInstance> upstreamsByAddress = new HashMap<>();
   private final Map<String, List<String>> handlesToRelease = new LinkedHashMap<>();
@@ -64,6 +70,8 @@
       EventLog log,
       String service,
       StageService stageService,
+      EligibilityCheck eligibility,
+      CallScope scope,
       BiConsumer<StageWork, List<PieceOutcome>> outcomeListener) {
     this.loop = loop;
     this.client = client;
@@ -71,8 +79,11 @@
     this.statements = statements;
     this.log = log;
     this.service = service;
-    this.queue = StageQueue.create(service, stageService, statements::maySend);
+    this.queue = StageQueue.create(service, stageService);
+    this.eligibility = eligibility;
+    this.scope = scope;
     this.outcomeListener = outcomeListener;
+    queue.callRule((upstream, now) -> eligibility.check(upstream, scope, now));
   }
 
   /** Replaces the upstreams that calls are sent to. */
@@ -132,6 +143,12 @@
   }
 
   private void sendCall(StageCall call, long now) {
+    // The queue holds a permit where one is needed.
+    Optional<EligibleUpstream> target = eligibility.clear(call.upstream(), scope, true, now);
+    if (target.isEmpty()) {
+      applyEffects(queue.failed(call.id(), true, now));
+      return;
+    }
     log.event(GatewayEvent.STAGE_CALL)
         .with("service", service)
         .with("call", call.id())
@@ -142,7 +159,7 @@
         .with("waiting", queue.waitingPieces())
         .write();
     statements.sent(call.upstream());
-    new RunningCall(call, now).start();
+    new RunningCall(call, now).start(target.get());
   }
 
   /** A call that was sent to an upstream and waits for its answer. */
@@ -158,13 +175,8 @@
       this.startedAt = startedAt;
     }
 
-    private void start() {
-      clientCall =
-          client.send(
-              UpstreamClient.poolKey(call.upstream()),
-              call.upstream().address(),
-              dialect.runRequest(call, startedAt),
-              this);
+    private void start(EligibleUpstream target) {
+      clientCall = client.send(target, dialect.runRequest(call, startedAt), this);
       Duration timeout = Duration.ofNanos(StageQueue.overdueAfterNanos(call) * TIMEOUT_FACTOR);
       loop.after(
           timeout,
@@ -282,35 +294,33 @@
     handlesByAddress.forEach(
         (address, handles) -> {
           UpstreamInstance producer = upstreamsByAddress.get(address);
-          if (producer != null
-              && statements.maySend(producer)
-              && queue.takeReleasePermit(producer.id(), loop.now())) {
-            new ReleaseCall(producer, handles).start();
+          long now = loop.now();
+          if (producer != null && queue.takeReleasePermit(producer.id(), now)) {
+            eligibility
+                .clear(producer, scope, true, now)
+                .ifPresent(target -> new ReleaseCall(target, handles).start());
           }
         });
   }
 
   /** A call that frees results. It is not repeated: results that are not freed expire. */
   private final class ReleaseCall extends BufferedAnswer {
+    private final EligibleUpstream target;
     private final UpstreamInstance producer;
     private final List<String> handles;
     private UpstreamClient.@Nullable Call clientCall;
     private boolean callEnded;
 
-    private ReleaseCall(UpstreamInstance producer, List<String> handles) {
+    private ReleaseCall(EligibleUpstream target, List<String> handles) {
       super(MAX_STAGE_ANSWER_BYTES, MAX_STAGE_ANSWER_BYTES_NAME);
-      this.producer = producer;
+      this.target = target;
+      this.producer = target.instance();
       this.handles = handles;
     }
 
     private void start() {
       statements.sent(producer);
-      clientCall =
-          client.send(
-              UpstreamClient.poolKey(producer),
-              producer.address(),
-              dialect.releaseRequest(producer, handles),
-              this);
+      clientCall = client.send(target, dialect.releaseRequest(producer, handles), this);
       loop.after(
           RELEASE_TIMEOUT,
           () -> {
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamChoice.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamChoice.java
@@ -1,12 +1,13 @@
 package org.oriolewell.gateway;
 
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
+import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.Reason;
+import org.oriolewell.core.eligibility.Screening;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.AllowedRegions;
 
@@ -21,6 +22,9 @@
   /** Cost of sending a request to another region, in the same unit; that traffic costs money. */
   private static final double OTHER_REGION_COST = 1.5;
 
+  /** Added to a time for callers, so that its header isn't rounded to an earlier one. */
+  private static final Duration RETRY_AFTER_RESOLUTION = Duration.ofMillis(1);
+
   private final GatewayComponents components;
   private final String serviceName;
   private final boolean engines;
@@ -73,69 +77,66 @@
    * @param rank urgency of the request; the lowest rank is the most urgent
    */
   Optional<UpstreamInstance> next(String region, int rank) {
-    return choose(usableUpstreams(upstream -> permitPossible(upstream, rank)), region);
+    return choose(unblocked(rank), region);
   }
 
-  /** Returns whether an upstream without a limit is left for another attempt. */
-  boolean anyUnlimited(String region) {
-    return choose(
-            usableUpstreams(upstream -> !components.upstreamLimits().limited(upstream)), region)
-        .isPresent();
+  /** Returns whether an upstream that needs no permit is left for another attempt. */
+  boolean anyUnlimited(String region, int rank) {
+    return choose(screen(rank).allowed(), region).isPresent();
   }
 
   /** Returns the zone of the engine that would run the request now; empty if there is none. */
   String engineZone(String region, int rank) {
-    return chooseEngine(usableUpstreams(upstream -> permitPossible(upstream, rank)), region)
-        .map(UpstreamInstance::zone)
-        .orElse("");
-  }
-
-  /** Returns the shortest time until a limited upstream may grant a permit; empty if none does. */
-  Optional<Duration> shortestBlock(int rank) {
-    return permittedUpstreams().stream()
-        .map(upstream -> components.upstreamLimits().blockedTime(upstream, rank))
-        .filter(time -> !time.isZero())
-        .min(Comparator.naturalOrder());
-  }
-
-  /**
-   * Returns the earliest end of the pauses if nothing may be sent to any upstream of the service
-   * and one of them pauses; empty otherwise.
-   */
-  Optional<Duration> earliestPauseEnd() {
-    return components.upstreamStatements().earliestPauseEnd(permittedUpstreams());
+    return chooseEngine(unblocked(rank), region).map(UpstreamInstance::zone).orElse("");
   }
 
-  /** Returns whether all upstreams of the service pause, except for those that leave. */
-  boolean allPaused() {
-    return components.upstreamStatements().allPaused(permittedUpstreams());
+  /** Sorts the upstreams of the service by whether the request may be sent to them now. */
+  Screening screen(int rank) {
+    return components
+        .eligibility()
+        .screen(
+            components.control().roster().usable(serviceName),
+            new CallScope(allowedRegions, rank),
+            components.loop().now());
   }
 
-  private boolean permitPossible(UpstreamInstance upstream, int rank) {
-    return !permitRefusals.contains(upstream.id())
-        && components.upstreamLimits().blockedTime(upstream, rank).isZero();
+  /** Returns whether the service has upstreams, but rules block all of them for an unknown time. */
+  boolean unreachable(int rank) {
+    List<UpstreamInstance> usable = components.control().roster().usable(serviceName);
+    return !usable.isEmpty()
+        && components
+            .eligibility()
+            .reachable(usable, new CallScope(allowedRegions, rank), components.loop().now())
+            .isEmpty();
   }
 
-  /** Returns whether the rules of the request allow any upstream of the service. */
-  boolean anyPermitted() {
-    return !permittedUpstreams().isEmpty();
+  /**
+   * Returns the earliest time from which an upstream may be used, if all are blocked and one of
+   * them pauses; empty otherwise.
+   */
+  Optional<Duration> earliestPauseEnd(int rank) {
+    Screening screening = screen(rank);
+    return screening.unblocked().isEmpty() && screening.reasons().contains(Reason.PAUSED)
+        ? screening.shortestBlock().map(time -> time.plus(RETRY_AFTER_RESOLUTION))
+        : Optional.empty();
   }
 
-  private List<UpstreamInstance> permittedUpstreams() {
+  /** Returns whether all upstreams that the request may reach pause. */
+  boolean allPaused(int rank) {
     List<UpstreamInstance> usable = components.control().roster().usable(serviceName);
-    return allowedRegions.restricted()
-        ? usable.stream()
-            .filter(
-                upstream -> allowedRegions.permits(components.regions().regionOf(upstream.zone())))
-            .toList()
-        : usable;
-  }
-
-  private List<UpstreamInstance> usableUpstreams(Predicate<UpstreamInstance> condition) {
-    List<UpstreamInstance> usable = components.upstreamStatements().sendable(permittedUpstreams());
-    return components.upstreamLimits().anyLimited()
-        ? usable.stream().filter(condition).toList()
-        : usable;
+    return components
+        .upstreamStatements()
+        .allPaused(
+            components
+                .eligibility()
+                .reachable(usable, new CallScope(allowedRegions, rank), components.loop().now()));
+  }
+
+  private List<UpstreamInstance> unblocked(int rank) {
+    List<UpstreamInstance> unblocked = screen(rank).unblocked();
+    return permitRefusals.isEmpty()
+        ? unblocked
+        : unblocked.stream().filter(u -> !permitRefusals.contains(u.id())).toList();
   }
 
   private Optional<UpstreamInstance> choose(List<UpstreamInstance> candidates, String region) {
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamStatements.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamStatements.java
@@ -1,11 +1,12 @@
 package org.oriolewell.gateway;
 
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
+import org.oriolewell.core.eligibility.EligibilityRule;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.upstream.Incarnation;
+import org.oriolewell.core.upstream.LeavingRule;
+import org.oriolewell.core.upstream.PauseRule;
 import org.oriolewell.core.upstream.ResumeTurn;
 import org.oriolewell.core.upstream.UpstreamRecords;
 import org.oriolewell.core.upstream.UpstreamRecords.Change;
@@ -23,9 +24,6 @@
   /** Interval at which ended pauses and records of removed upstreams are dropped. */
   private static final Duration FORGET_INTERVAL = Duration.ofSeconds(2);
 
-  /** Rounds a time up to the resolution of the header that carries it. */
-  private static final Duration RETRY_AFTER_RESOLUTION = Duration.ofMillis(1);
-
   private final EventLoop loop;
   private final ControlPlane control;
   private final GatewayMetrics metrics;
@@ -109,20 +107,9 @@
     }
   }
 
-  /** Returns those of a list of upstreams that a request may be sent to now. */
-  List<UpstreamInstance> sendable(List<UpstreamInstance> upstreams) {
-    return records.unrestricted() ? upstreams : upstreams.stream().filter(this::maySend).toList();
-  }
-
-  /** Returns whether a request may be sent to an upstream now. */
-  boolean maySend(UpstreamInstance upstream) {
-    return maySend(upstream, loop.now());
-  }
-
-  /** Returns whether a request may be sent to an upstream at a time. */
-  boolean maySend(UpstreamInstance upstream, long now) {
-    return records.unrestricted()
-        || (!records.leaving(upstream) && records.blockedFor(upstream, now).isZero());
+  /** Returns the rules that block upstreams that leave or pause. */
+  List<EligibilityRule> rules() {
+    return List.of(new LeavingRule(records), new PauseRule(records));
   }
 
   /**
@@ -143,9 +130,10 @@
     }
   }
 
-  /** Records that a request or a call was not written, and is placed again. */
+  /** Records that a request or a call was not written, since a rule blocks its upstream now. */
   void withdrawn(UpstreamInstance upstream, String request) {
-    String reason = records.leaving(upstream) ? "leaving" : "paused";
+    boolean paused = !records.blockedFor(upstream, loop.now()).isZero();
+    String reason = records.leaving(upstream) ? "leaving" : paused ? "paused" : "other";
     metrics.requestWithdrawn(reason);
     log.event(GatewayEvent.REQUEST_WITHDRAWN)
         .with("request", request)
@@ -154,26 +142,11 @@
         .write();
   }
 
-  /** Returns whether all of a list of upstreams that don't leave pause, and there is one. */
+  /** Returns whether there are upstreams in a list, and all of them leave or pause. */
   boolean allPaused(List<UpstreamInstance> upstreams) {
     return !records.unrestricted()
-        && upstreams.stream().noneMatch(this::mayStillSend)
-        && upstreams.stream().anyMatch(upstream -> !records.leaving(upstream));
-  }
-
-  /**
-   * Returns the time until the first of a list of upstreams may be sent to again, if all that don't
-   * leave pause or wait for this gateway's turn after their pause; empty otherwise.
-   */
-  Optional<Duration> earliestPauseEnd(List<UpstreamInstance> upstreams) {
-    if (records.unrestricted() || upstreams.stream().anyMatch(this::maySend)) {
-      return Optional.empty();
-    }
-    long now = loop.now();
-    return upstreams.stream()
-        .filter(upstream -> !records.leaving(upstream))
-        .map(upstream -> records.blockedFor(upstream, now).plus(RETRY_AFTER_RESOLUTION))
-        .min(Comparator.naturalOrder());
+        && !upstreams.isEmpty()
+        && upstreams.stream().noneMatch(this::mayStillSend);
   }
 
   /** Sets the metrics of the upstreams that get no requests. */
