--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -13,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.oriolewell.core.capacity.LearnedSpeeds;
 import org.oriolewell.core.eligibility.EligibilityCheck;
+import org.oriolewell.core.eligibility.EligibilityRule;
 import org.oriolewell.core.eligibility.RegionRule;
 import org.oriolewell.core.overload.CallerPatience;
 import org.oriolewell.core.overload.FirstByteTimes;
@@ -66,6 +68,7 @@
   private final ControlPlane control;
   private final AnswerMemory answerMemory;
   private final UpstreamClient client;
+  private final UpstreamStatements statements;
   private final EligibilityCheck eligibility;
   private final Evacuations evacuations;
   private final StageCoordinator stageCoordinator;
@@ -114,8 +117,10 @@
     final GatewayMetrics metrics = GatewayMetrics.register(registry);
     final UpstreamHealth health = UpstreamHealth.create();
     final LearnedSpeeds speeds = LearnedSpeeds.create();
+    statements = new UpstreamStatements(loop, control, metrics, log);
     stageCoordinator =
-        new StageCoordinator(loop, control, client, platformAdapter.stageDialect(), regions, log);
+        new StageCoordinator(
+            loop, control, client, platformAdapter.stageDialect(), regions, statements, log);
     mesh =
         PeerMesh.start(
             loop, control, stageCoordinator, settings.value(GatewaySettings.PEER_ADDRESS), log);
@@ -126,9 +131,11 @@
     UpstreamLimits upstreamLimits = new UpstreamLimits(loop, control, mesh, regions, exchange, log);
     evacuations = new Evacuations(regions, log);
     control.evacuationListener(evacuations);
-    eligibility =
-        EligibilityCheck.of(
-            List.of(RegionRule.of(regions::regionOf), evacuations.zones(), upstreamLimits));
+    List<EligibilityRule> rules = new ArrayList<>(statements.rules());
+    rules.add(RegionRule.of(regions::regionOf));
+    rules.add(evacuations.zones());
+    rules.add(upstreamLimits);
+    eligibility = EligibilityCheck.of(rules);
     GatewayComponents components =
         new GatewayComponents(
             loop,
@@ -150,6 +157,7 @@
                 () -> control.peers().size() + 1),
             crashGuard,
             upstreamLimits,
+            statements,
             eligibility,
             stopGate,
             settings.value(GatewaySettings.MAX_ANSWER_BYTES),
@@ -169,6 +177,7 @@
               metrics.setViewAge(control.ageMillis() / 1000.0);
               metrics.setQuarantined(crashGuard.quarantinedCount());
               metrics.setEvacuatedZones(evacuations.zones().size());
+              statements.updateMetrics();
             });
     EventLoop.Listener operatorListener =
         listenHttp(settings.value(GatewaySettings.OPERATOR_ADDRESS), operatorsHandler);
@@ -220,6 +229,7 @@
     stageCoordinator.start(mesh, eligibility, evacuations.zones());
     control.start();
     loop.every(IDLE_SWEEP_INTERVAL, client::closeStale);
+    statements.start();
   }
 
   private boolean ready() {
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayComponents.java
@@ -30,6 +30,7 @@
  * @param retryBudget limit on retries, shared by all gateways
  * @param crashGuard quarantine of prompt parts that crash engines
  * @param upstreamLimits limits that upstreams name in their answers
+ * @param upstreamStatements what upstreams state about themselves in their answers
  * @param eligibility decides which upstreams a call may be sent to
  * @param stopGate decides which requests are started and sent during a stop
  * @param maxAnswerBytes largest accepted body of an upstream's answer, and largest event of a
@@ -53,6 +54,7 @@
     SharedRetryBudget retryBudget,
     CrashGuard crashGuard,
     UpstreamLimits upstreamLimits,
+    UpstreamStatements upstreamStatements,
     EligibilityCheck eligibility,
     StopGate stopGate,
     int maxAnswerBytes,
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
@@ -25,6 +25,9 @@
   private final Gauge quarantinedParts;
   private final Gauge evacuatedZones;
   private final Counter placedElsewhere;
+  private final Gauge restrictedUpstreams;
+  private final Counter statements;
+  private final Counter withdrawals;
 
   private GatewayMetrics(PrometheusRegistry registry) {
     requests =
@@ -89,6 +92,24 @@
             .help("Choices of an upstream that a rule kept from some upstreams, by reason.")
             .labelNames("reason")
             .register(registry);
+    restrictedUpstreams =
+        Gauge.builder()
+            .name("oriolewell_gateway_restricted_upstreams")
+            .help("Upstreams that get no requests since they have stated to leave or pause.")
+            .labelNames("reason")
+            .register(registry);
+    statements =
+        Counter.builder()
+            .name("oriolewell_gateway_upstream_statements_total")
+            .help("Statements of upstreams that changed what is sent to them, or were odd.")
+            .labelNames("kind")
+            .register(registry);
+    withdrawals =
+        Counter.builder()
+            .name("oriolewell_gateway_withdrawn_requests_total")
+            .help("Requests and calls that were placed again before they were written.")
+            .labelNames("reason")
+            .register(registry);
   }
 
   /** Creates the metrics and registers them. */
@@ -146,6 +167,22 @@
     reasons.forEach(reason -> placedElsewhere.labelValues(reason.label()).inc());
   }
 
+  /** Sets the numbers of upstreams that leave and that pause. */
+  void setRestrictedUpstreams(int leavingCount, int pausedCount) {
+    restrictedUpstreams.labelValues("leaving").set(leavingCount);
+    restrictedUpstreams.labelValues("paused").set(pausedCount);
+  }
+
+  /** Counts a statement of an upstream, by its kind. */
+  void upstreamStated(String kind) {
+    statements.labelValues(kind).inc();
+  }
+
+  /** Counts a request or call that was not written since its upstream leaves or pauses. */
+  void requestWithdrawn(String reason) {
+    withdrawals.labelValues(reason).inc();
+  }
+
   /** Sets the age of the copy of the configuration; -1 if it was never confirmed. */
   void setViewAge(double seconds) {
     viewAge.set(seconds);
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
@@ -104,7 +104,9 @@
   private List<Estimate> estimates(StageProgress progress) {
     Map<String, Integer> upstreamsByRegion = new HashMap<>();
     for (UpstreamInstance upstream : reachable(serviceName)) {
-      upstreamsByRegion.merge(components.regions().regionOf(upstream.zone()), 1, Integer::sum);
+      if (components.upstreamStatements().mayStillSend(upstream)) {
+        upstreamsByRegion.merge(components.regions().regionOf(upstream.zone()), 1, Integer::sum);
+      }
     }
     Optional<String> home = RegionAffinity.home(intent.affinityHash(), upstreamsByRegion);
     List<Estimate> estimates = new ArrayList<>();
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -205,6 +205,10 @@
     if (heldBack()) {
       return;
     }
+    if (upstreamChoice.allPaused(rank)) {
+      refuseWithoutUpstream();
+      return;
+    }
     if (intent.pieceCounts().stream().anyMatch(pieces -> pieces > 0)) {
       decideAdmission();
     } else {
@@ -434,6 +438,11 @@
       fail("no other upstream is left", 502);
       return;
     }
+    Optional<Duration> pauseEnd = upstreamChoice.earliestPauseEnd(rank);
+    if (pauseEnd.isPresent()) {
+      refuse("the upstreams of " + serviceName + " pause", "upstream pause", pauseEnd.get());
+      return;
+    }
     Optional<Duration> shortestBlock = upstreamChoice.screen(rank).shortestBlock();
     if (shortestBlock.isPresent() || upstreamChoice.anyPermitRefused()) {
       Duration retryAfter =
@@ -465,6 +474,7 @@
         components.eligibility().clear(upstream, scope(), permitHeld, now);
     if (target.isEmpty()) {
       // A rule has changed while the permit was asked for.
+      components.upstreamStatements().withdrawn(upstream, requestId());
       callUpstream(lastEventId);
       return;
     }
@@ -480,6 +490,7 @@
     attemptCount++;
     sent = false;
     upstreamChoice.tried(upstream);
+    components.upstreamStatements().sent(upstream);
     if (attemptCount == 1) {
       components.retryBudget().attempted(serviceName);
     }
@@ -609,6 +620,12 @@
         status < 400 ? "answered" : "upstream_error", () -> exchange.reply(status, headers, body));
   }
 
+  @Override
+  public void onWithdrawn(UpstreamInstance upstream) {
+    attemptCount--;
+    callUpstream(lastForwardedEventId());
+  }
+
   @Override
   public void onConnectFailed(UpstreamInstance upstream, String reason) {
     attemptCount--;
@@ -630,7 +647,8 @@
     } else if (mayHaveExecuted) {
       fail(reason, 502);
     } else {
-      refuse(reason, "upstream full", FULL_RETRY_AFTER);
+      refuse(
+          reason, "upstream full", upstreamChoice.earliestPauseEnd(rank).orElse(FULL_RETRY_AFTER));
     }
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -24,6 +24,7 @@
 import org.oriolewell.core.stage.StageLoad;
 import org.oriolewell.core.stage.StageQueue;
 import org.oriolewell.core.stage.StageWork;
+import org.oriolewell.core.upstream.UpstreamStatement;
 import org.oriolewell.gateway.StageDialect.MalformedAnswerException;
 import org.oriolewell.runtime.log.EventLog;
 import org.oriolewell.runtime.net.EventLoop;
@@ -50,6 +51,7 @@
   private final EventLoop loop;
   private final UpstreamClient client;
   private final StageDialect dialect;
+  private final UpstreamStatements statements;
   private final EventLog log;
   private final String service;
   private final StageQueue queue;
@@ -64,6 +66,7 @@
       EventLoop loop,
       UpstreamClient client,
       StageDialect dialect,
+      UpstreamStatements statements,
       EventLog log,
       String service,
       StageService stageService,
@@ -73,6 +76,7 @@
     this.loop = loop;
     this.client = client;
     this.dialect = dialect;
+    this.statements = statements;
     this.log = log;
     this.service = service;
     this.queue = StageQueue.create(service, stageService);
@@ -154,6 +158,7 @@
         .with("requests", call.items().stream().map(i -> i.work().requestId()).distinct().toList())
         .with("waiting", queue.waitingPieces())
         .write();
+    statements.sent(call.upstream());
     new RunningCall(call, now).start(target.get());
   }
 
@@ -189,10 +194,18 @@
       }
     }
 
+    @Override
+    public void onConnected() {
+      if (!callEnded && !statements.mayStillSend(call.upstream())) {
+        statements.withdrawn(call.upstream(), "call " + call.id());
+        failCall("the upstream leaves or pauses, the call was not sent", true);
+      }
+    }
+
     @Override
     public void onHead(int answerStatus, HttpFields headers) {
       super.onHead(answerStatus, headers);
-      recordLimit(call.upstream(), headers);
+      recordStatement(call.upstream(), answerStatus, headers);
     }
 
     @Override
@@ -249,8 +262,10 @@
     }
   }
 
-  private void recordLimit(UpstreamInstance upstream, HttpFields headers) {
-    OptionalDouble perSecond = dialect.limitPerSecond(headers);
+  private void recordStatement(UpstreamInstance upstream, int status, HttpFields headers) {
+    UpstreamStatement statement = dialect.statement(status, headers);
+    statements.statedToDispatcher(upstream, statement);
+    OptionalDouble perSecond = statement.limitPerSecond();
     if (queue.limitStated(upstream.id(), perSecond)) {
       log.event(GatewayEvent.UPSTREAM_LIMITED)
           .with("upstream", upstream.id())
@@ -283,50 +298,77 @@
           if (producer != null && queue.takeReleasePermit(producer.id(), now)) {
             eligibility
                 .clear(producer, scope, true, now)
-                .ifPresent(target -> sendRelease(target, handles));
+                .ifPresent(target -> new ReleaseCall(target, handles).start());
           }
         });
   }
 
-  private void sendRelease(EligibleUpstream target, List<String> handles) {
-    UpstreamInstance producer = target.instance();
-    boolean[] callEnded = new boolean[1];
-    UpstreamClient.Call call =
-        client.send(
-            target,
-            dialect.releaseRequest(producer, handles),
-            new BufferedAnswer(MAX_STAGE_ANSWER_BYTES, MAX_STAGE_ANSWER_BYTES_NAME) {
-              @Override
-              public void onHead(int answerStatus, HttpFields headers) {
-                super.onHead(answerStatus, headers);
-                recordLimit(producer, headers);
-              }
-
-              @Override
-              public void onComplete() {
-                callEnded[0] = true;
-                if (status() == HttpStatus.OK_200) {
-                  queue.freed(handles, loop.now());
-                  sendNextCalls();
-                } else {
-                  logReleaseFailure(producer, new IOException("status " + status()));
-                }
-              }
-
-              @Override
-              public void onFailure(boolean mayHaveBeenSent, Throwable cause) {
-                callEnded[0] = true;
-                logReleaseFailure(producer, cause);
-              }
-            });
-    loop.after(
-        RELEASE_TIMEOUT,
-        () -> {
-          if (!callEnded[0]) {
-            call.cancel();
-            logReleaseFailure(producer, new IOException("no answer"));
-          }
-        });
+  /** A call that frees results. It is not repeated: results that are not freed expire. */
+  private final class ReleaseCall extends BufferedAnswer {
+    private final EligibleUpstream target;
+    private final UpstreamInstance producer;
+    private final List<String> handles;
+    private UpstreamClient.@Nullable Call clientCall;
+    private boolean callEnded;
+
+    private ReleaseCall(EligibleUpstream target, List<String> handles) {
+      super(MAX_STAGE_ANSWER_BYTES, MAX_STAGE_ANSWER_BYTES_NAME);
+      this.target = target;
+      this.producer = target.instance();
+      this.handles = handles;
+    }
+
+    private void start() {
+      statements.sent(producer);
+      clientCall = client.send(target, dialect.releaseRequest(producer, handles), this);
+      loop.after(
+          RELEASE_TIMEOUT,
+          () -> {
+            if (!callEnded) {
+              cancel();
+              logReleaseFailure(producer, new IOException("no answer"));
+            }
+          });
+    }
+
+    private void cancel() {
+      callEnded = true;
+      UpstreamClient.Call currentCall = clientCall;
+      if (currentCall != null) {
+        currentCall.cancel();
+      }
+    }
+
+    @Override
+    public void onConnected() {
+      if (!callEnded && !statements.mayStillSend(producer)) {
+        cancel();
+        statements.withdrawn(producer, "release");
+      }
+    }
+
+    @Override
+    public void onHead(int answerStatus, HttpFields headers) {
+      super.onHead(answerStatus, headers);
+      recordStatement(producer, answerStatus, headers);
+    }
+
+    @Override
+    public void onComplete() {
+      callEnded = true;
+      if (status() == HttpStatus.OK_200) {
+        queue.freed(handles, loop.now());
+        sendNextCalls();
+      } else {
+        logReleaseFailure(producer, new IOException("status " + status()));
+      }
+    }
+
+    @Override
+    public void onFailure(boolean mayHaveBeenSent, Throwable cause) {
+      callEnded = true;
+      logReleaseFailure(producer, cause);
+    }
   }
 
   private void logReleaseFailure(UpstreamInstance producer, Throwable cause) {
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamChoice.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamChoice.java
@@ -1,10 +1,12 @@
 package org.oriolewell.gateway;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.Reason;
 import org.oriolewell.core.eligibility.Screening;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.AllowedRegions;
@@ -20,6 +22,9 @@
   /** Cost of sending a request to another region, in the same unit; that traffic costs money. */
   private static final double OTHER_REGION_COST = 1.5;
 
+  /** Added to a time for callers, so that its header isn't rounded to an earlier one. */
+  private static final Duration RETRY_AFTER_RESOLUTION = Duration.ofMillis(1);
+
   private final GatewayComponents components;
   private final String serviceName;
   private final boolean engines;
@@ -109,6 +114,28 @@
             .isEmpty();
   }
 
+  /**
+   * Returns the earliest time from which an upstream may be used, if all are blocked and one of
+   * them pauses; empty otherwise.
+   */
+  Optional<Duration> earliestPauseEnd(int rank) {
+    Screening screening = screen(rank);
+    return screening.unblocked().isEmpty() && screening.reasons().contains(Reason.PAUSED)
+        ? screening.shortestBlock().map(time -> time.plus(RETRY_AFTER_RESOLUTION))
+        : Optional.empty();
+  }
+
+  /** Returns whether all upstreams that the request may reach pause. */
+  boolean allPaused(int rank) {
+    List<UpstreamInstance> usable = components.control().roster().usable(serviceName);
+    return components
+        .upstreamStatements()
+        .allPaused(
+            components
+                .eligibility()
+                .reachable(usable, new CallScope(allowedRegions, rank), components.loop().now()));
+  }
+
   private List<UpstreamInstance> withoutRefusals(Screening screening) {
     List<UpstreamInstance> unblocked = screening.unblocked();
     return permitRefusals.isEmpty()
