--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
@@ -1,9 +1,11 @@
 package org.oriolewell.gateway;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.oriolewell.runtime.net.EventLoop;
 
 /** Prometheus metrics of the gateway. */
 final class GatewayMetrics {
@@ -23,6 +25,11 @@
   private final Gauge quarantinedParts;
 
   private GatewayMetrics(PrometheusRegistry registry) {
+    CounterWithCallback.builder()
+        .name("oriolewell_event_loop_overlaps_total")
+        .help("Tasks that were to run beside another one of their event loop; 0 unless defective.")
+        .callback(callback -> callback.call(EventLoop.overlapCount()))
+        .register(registry);
     requests =
         Counter.builder()
             .name("oriolewell_gateway_requests_total")
--- a/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
@@ -37,6 +38,9 @@
   /** Connections that may wait to be accepted, so that a burst of new callers loses no packets. */
   private static final int ACCEPT_BACKLOG = 1024;
 
+  /** Tasks of any loop of the process that were to run beside another one of the same loop. */
+  private static final AtomicLong OVERLAP_COUNT = new AtomicLong();
+
   /** A scheduled task that can be canceled. */
   @FunctionalInterface
   public interface Timer {
@@ -64,7 +68,7 @@
 
   private EventLoop(String name, EventLog log, Duration connectTimeout, Consumer<Error> onFatal) {
     this.log = log;
-    thread = new LoopThread(name, this::runSelectLoop, log, onFatal);
+    thread = new LoopThread(name, this::runSelectLoop, log, onFatal, OVERLAP_COUNT);
     selectorManager = new LoopSelectorManager();
     selectorManager.setConnectTimeout(connectTimeout.toMillis());
   }
@@ -90,6 +94,14 @@
     return loop;
   }
 
+  /**
+   * Returns the number of tasks of all loops of the process that were to run beside another one of
+   * the same loop, and were held back. Any number above 0 shows a defect of the loop.
+   */
+  public static long overlapCount() {
+    return OVERLAP_COUNT.get();
+  }
+
   /** Returns the monotonic time of {@link System#nanoTime}, in nanoseconds. */
   public long now() {
     return System.nanoTime();
--- a/runtime/src/main/java/org/oriolewell/runtime/net/LoopThread.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/net/LoopThread.java
@@ -20,13 +20,12 @@
   /** Most frames of a failed task that are logged. */
   private static final int MAX_LOGGED_FRAMES = 4;
 
-  private static final AtomicLong OVERLAP_COUNT = new AtomicLong();
-
   private final Thread thread;
   private final ReentrantLock ownership = new ReentrantLock();
   private final EventLog log;
   private final Consumer<Error> onFatal;
   private final Runnable selectLoop;
+  private final AtomicLong overlapCount;
   private volatile boolean stopping;
 
   /**
@@ -34,9 +33,16 @@
    *
    * @param selectLoop work of the thread, which ends when the loop is closed
    * @param onFatal called with an error after which tasks can no longer run reliably
+   * @param overlapCount counts the tasks that were to run beside another one
    */
-  LoopThread(String name, Runnable selectLoop, EventLog log, Consumer<Error> onFatal) {
+  LoopThread(
+      String name,
+      Runnable selectLoop,
+      EventLog log,
+      Consumer<Error> onFatal,
+      AtomicLong overlapCount) {
     this.selectLoop = selectLoop;
+    this.overlapCount = overlapCount;
     this.log = log;
     this.onFatal = onFatal;
     thread = new Thread(this::select, name);
@@ -86,7 +92,7 @@
    */
   void run(Runnable task) {
     if (!ownership.tryLock()) {
-      OVERLAP_COUNT.incrementAndGet();
+      overlapCount.incrementAndGet();
       log.event(RuntimeEvent.TASKS_OVERLAP)
           .with("thread", Thread.currentThread().getName())
           .cause(new IllegalStateException("a task was to run beside another one of its loop"))
@@ -124,9 +130,4 @@
         .cause(failure)
         .write();
   }
-
-  /** Returns the overlaps of all loops of the process since the last call. */
-  static long takeOverlapCount() {
-    return OVERLAP_COUNT.getAndSet(0);
-  }
 }
