Pause accepting by a gate, and write long queues in parts

Cause: (1) the acceptor takes connections until the descriptors are used up. (2) OutputQueue handed its whole queue to the endpoint in one write; the Java library copies all of it to native memory for each attempt, so a caller that reads slowly costs megabytes of copying for each part. Change: EventLoop.listen takes an AcceptGate; a closed gate cancels the acceptor until resumeAccepting. OutputQueue writes at most 128 KiB at once.

--- a/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/net/EventLoop.java
@@ -61,6 +61,30 @@
     Connection connect(EndPoint endPoint);
   }
 
+  /** Decides whether a listener accepts connections. Called on any thread of the event loop. */
+  public interface AcceptGate {
+    /** Gate that is always open. */
+    AcceptGate OPEN =
+        new AcceptGate() {
+          @Override
+          public boolean mayAccept() {
+            return true;
+          }
+
+          @Override
+          public void nothingAccepted() {}
+        };
+
+    /**
+     * Returns whether one more connection may be accepted. If not, the listener accepts none until
+     * {@link EventLoop#resumeAccepting}.
+     */
+    boolean mayAccept();
+
+    /** Called if no connection was accepted although one was allowed. */
+    void nothingAccepted();
+  }
+
   private record PendingConnection(ConnectionFactory factory, Consumer<Throwable> onFailure) {}
 
   private final QueuedThreadPool threads =
@@ -256,21 +280,38 @@
    * @throws IOException if the address can't be bound
    */
   public Listener listen(InetSocketAddress address, ConnectionFactory factory) throws IOException {
+    return listen(address, factory, AcceptGate.OPEN);
+  }
+
+  /**
+   * Binds an address and accepts connections on it while a gate allows it.
+   *
+   * @param factory creates the protocol connection of each accepted endpoint
+   * @throws IOException if the address can't be bound
+   */
+  public Listener listen(InetSocketAddress address, ConnectionFactory factory, AcceptGate gate)
+      throws IOException {
     ServerSocketChannel channel = ServerSocketChannel.open();
     channel.socket().setReuseAddress(true);
     channel.bind(address, ACCEPT_BACKLOG);
     channel.configureBlocking(false);
-    selectorManager.registerServer(channel, factory);
-    Closeable acceptor = selectorManager.acceptor(channel);
+    selectorManager.registerServer(channel, factory, gate);
     return new Listener(
         (InetSocketAddress) channel.getLocalAddress(),
         () -> {
-          acceptor.close();
+          selectorManager.pauseAccepting(channel);
           selectorManager.acceptWaiting(channel);
         },
         channel);
   }
 
+  /** Accepts connections again after the gate of a listener has stopped that. */
+  public void resumeAccepting(Listener listener) {
+    if (listener.channel().isOpen()) {
+      selectorManager.startAccepting(listener.channel());
+    }
+  }
+
   /**
    * Opens an outgoing connection.
    *
@@ -313,8 +354,25 @@
       super(threads, scheduler, 1);
     }
 
-    private void registerServer(ServerSocketChannel channel, ConnectionFactory factory) {
+    private final Map<SelectableChannel, AcceptGate> gatesByServer = new ConcurrentHashMap<>();
+    private final Map<SelectableChannel, Closeable> acceptorsByServer = new ConcurrentHashMap<>();
+
+    private void registerServer(
+        ServerSocketChannel channel, ConnectionFactory factory, AcceptGate gate) {
       factoriesByServer.put(channel, factory);
+      gatesByServer.put(channel, gate);
+      startAccepting(channel);
+    }
+
+    private void startAccepting(ServerSocketChannel channel) {
+      acceptorsByServer.computeIfAbsent(channel, this::acceptor);
+    }
+
+    private void pauseAccepting(SelectableChannel channel) throws IOException {
+      Closeable acceptor = acceptorsByServer.remove(channel);
+      if (acceptor != null) {
+        acceptor.close();
+      }
     }
 
     private void acceptWaiting(ServerSocketChannel channel) throws IOException {
@@ -330,9 +388,15 @@
     @Override
     protected @Nullable SelectableChannel doAccept(SelectableChannel serverChannel)
         throws IOException {
+      AcceptGate gate = gatesByServer.getOrDefault(serverChannel, AcceptGate.OPEN);
+      if (!gate.mayAccept()) {
+        pauseAccepting(serverChannel);
+        return null;
+      }
       SocketChannel channel = ((ServerSocketChannel) serverChannel).accept();
       ConnectionFactory factory = factoriesByServer.get(serverChannel);
       if (channel == null) {
+        gate.nothingAccepted();
         return null;
       }
       if (factory == null) {
--- a/runtime/src/main/java/org/oriolewell/runtime/net/OutputQueue.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/net/OutputQueue.java
@@ -14,6 +14,13 @@
  * where possible. Thread-safe.
  */
 public final class OutputQueue extends IteratingCallback {
+  /**
+   * Bytes handed to the endpoint in one write. The Java library copies all of them to native memory
+   * for each attempt, also if the peer accepts few, so that a long queue to a slow peer would be
+   * copied again and again.
+   */
+  private static final int MAX_BYTES_PER_WRITE = 128 << 10;
+
   private final EndPoint endPoint;
   private final Consumer<Throwable> onFailure;
   private final Deque<ByteBuffer> queuedBuffers = new ArrayDeque<>();
@@ -75,14 +82,28 @@
       if (queuedBuffers.isEmpty()) {
         return Action.IDLE;
       }
-      batch = new ArrayList<>(queuedBuffers);
-      queuedBuffers.clear();
-      batch.forEach(buffer -> writingBytes += buffer.remaining());
+      batch = takeBatch();
     }
     endPoint.write(this, batch.toArray(ByteBuffer[]::new));
     return Action.SCHEDULED;
   }
 
+  private List<ByteBuffer> takeBatch() {
+    List<ByteBuffer> batch = new ArrayList<>();
+    while (!queuedBuffers.isEmpty() && writingBytes < MAX_BYTES_PER_WRITE) {
+      ByteBuffer first = queuedBuffers.getFirst();
+      int part = (int) Math.min(first.remaining(), MAX_BYTES_PER_WRITE - writingBytes);
+      if (part == first.remaining()) {
+        batch.add(queuedBuffers.removeFirst());
+      } else {
+        batch.add(first.slice(first.position(), part));
+        first.position(first.position() + part);
+      }
+      writingBytes += part;
+    }
+    return batch;
+  }
+
   @Override
   protected void onCompleteFailure(Throwable cause) {
     onFailure.accept(cause);
