Bound the memory, the work and the descriptors that callers can demand

Cause: bodies, pipelined requests, chunks and connections of callers were bounded one by one and not in their sum. CallerConnection uses the account of core.overload: reading pauses under pressure, 503 for requests that were not read whole, least rate of bodies, turns of 64 KiB and 512 chunks, no reading ahead of unread answers, no buffers while idle. It is split into RequestAssembler, RequestParser, CallerInput, LastOutput, UnreadOutput and others. CallerGate pauses accepting and closes idle connections; UpstreamClient bounds its connections.

--- a/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/CallerConnection.java
@@ -1,22 +1,18 @@
 package org.oriolewell.gateway;
 
-import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.concurrent.Executor;
-import org.eclipse.jetty.http.HttpException;
-import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpHeaderValue;
-import org.eclipse.jetty.http.HttpParser;
-import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.overload.BufferBudget;
+import org.oriolewell.core.overload.CallerHolding;
+import org.oriolewell.core.overload.CallerHolding.Kind;
 import org.oriolewell.core.route.CallerLimits;
 import org.oriolewell.runtime.net.EventLoop;
 import org.oriolewell.runtime.net.OutputQueue;
@@ -24,37 +20,25 @@
 /**
  * An HTTP/1.1 connection of a caller. Requests are read completely, one at a time, and answered in
  * order. The connection keeps reading while a request is in progress, so that a caller that
- * disconnects is noticed at once, even before any byte of the answer was written.
+ * disconnects is noticed at once, even before any byte of the answer was written. It is not read
+ * while the process has too little memory for it, or while the caller doesn't read its answers.
  */
-final class CallerConnection extends AbstractConnection implements BufferBudget.Buffer {
-  private static final int READ_BUFFER_BYTES = 16 << 10;
+final class CallerConnection extends AbstractConnection
+    implements BufferBudget.Buffer, CallerPressure.Holder {
+  /** Input that is parsed in one turn, after which other connections have theirs. */
+  private static final int MAX_BYTES_PER_TURN = 64 << 10;
 
-  /** Bytes of pipelined requests that are read ahead; further ones stay in the kernel's buffer. */
-  private static final int MAX_PIPELINED_BYTES = 64 << 10;
+  /** Chunks that are parsed in one turn; a chunk costs about as much as 100 bytes. */
+  private static final int MAX_CHUNKS_PER_TURN = 512;
 
-  /** Reads in a row after which other connections of the event loop get their turn. */
+  /** Reads in a row without a bound on their bytes: input that is discarded or read ahead. */
   private static final int MAX_READS_PER_TURN = 16;
 
   /** Most output that is queued for a slow caller; beyond it the connection is closed. */
   private static final long MAX_QUEUED_OUTPUT_BYTES = 4 << 20;
 
-  /** Longest time in which the body of a request may arrive, however steadily it does. */
-  private static final Duration MAX_BODY_TIME = Duration.ofSeconds(60);
-
-  /** Longest time in which the last output of a connection is written to a slow caller. */
-  private static final Duration LAST_OUTPUT_TIMEOUT = Duration.ofSeconds(10);
-
-  /** Interval at which the end of the last output is checked. */
-  private static final Duration LAST_OUTPUT_CHECK_INTERVAL = Duration.ofMillis(5);
-
-  /**
-   * Longest time for which input is discarded after the output was shut down. A connection that is
-   * closed with unread input is reset, and a reset can destroy output that the caller hasn't read.
-   */
-  private static final Duration DISCARD_TIMEOUT = Duration.ofSeconds(1);
-
-  /** Most input that is discarded before a connection is closed. */
-  private static final long MAX_DISCARDED_BYTES = 16 << 20;
+  /** Memory of an idle connection: its endpoint, parser and selection key. */
+  private static final long CONNECTION_BYTES = 6 << 10;
 
   /** Handles the requests on the connections of one listening port. */
   interface Handler {
@@ -64,7 +48,7 @@
     /** Returns the current limits on sizes and times of requests. */
     CallerLimits limits();
 
-    /** Returns whether the process is stopping, so that connections close after the next answer. */
+    /** Returns whether connections should close after the next answer, as in a planned stop. */
     boolean stopping();
 
     /** Called when a caller has connected. */
@@ -72,41 +56,50 @@
 
     /** Called once when a connection is closed by either side. */
     void onClosed(CallerConnection connection);
+
+    /** Returns the workspace of a request; empty if it is not known. */
+    default String workspaceOf(HttpFields headers) {
+      return "";
+    }
   }
 
   private final EventLoop loop;
   private final Handler handler;
-  private final AnswerMemory answerMemory;
+  private final CallerResources resources;
+  private final CallerPressure pressure;
+  private final CallerHolding holding;
   private final OutputQueue output;
-  private final RequestAssembler assembler = new RequestAssembler();
-  private int maxHeaderBytes;
-  private HttpParser parser;
-  private final ByteBuffer readBuffer = BufferUtil.allocate(READ_BUFFER_BYTES);
-  private ByteBuffer pendingInput = ByteBuffer.allocate(READ_BUFFER_BYTES).limit(0);
+  private final LastOutput lastOutput;
+  private final RequestAssembler assembler;
+  private final CallerInput input = new CallerInput();
+  private final RequestParser parser;
+  private final UnreadOutput unreadOutput;
+  private final SingleTimer timer;
+  private final Callback fillCallback;
   private @Nullable CallerExchange exchange;
-  private EventLoop.@Nullable Timer timer;
   private long idleSince;
-  private boolean messageStarted;
   private boolean closed;
   private boolean readRequested;
-  private boolean closeAfterOutput;
+  private boolean turnQueued;
+  private boolean paused;
   private boolean inputEnded;
-  private long discardedBytes;
 
   CallerConnection(
-      EndPoint endPoint,
-      Executor executor,
-      EventLoop loop,
-      Handler handler,
-      AnswerMemory answerMemory) {
+      EndPoint endPoint, Executor executor, Handler handler, CallerResources resources) {
     super(endPoint, executor);
-    this.answerMemory = answerMemory;
-    this.loop = loop;
+    this.loop = resources.loop();
     this.handler = handler;
+    this.resources = resources;
+    this.pressure = resources.pressure();
     this.output =
         new OutputQueue(endPoint, MAX_QUEUED_OUTPUT_BYTES, cause -> loop.dispatch(this::close));
-    this.maxHeaderBytes = handler.limits().maxHeaderBytes();
-    this.parser = HttpParsers.forRequests(assembler, maxHeaderBytes);
+    this.unreadOutput = new UnreadOutput(output);
+    this.timer = new SingleTimer(loop);
+    this.fillCallback = new LoopCallback(loop, this::onFillable, this::close);
+    this.lastOutput = new LastOutput(loop, endPoint, output, timer, this::close);
+    this.assembler = new RequestAssembler(new Assembled(), loop, resources.bodyRate());
+    this.parser = new RequestParser(assembler, input, handler.limits().maxHeaderBytes());
+    this.holding = CallerHolding.of(pressure.memory(), loop.now());
   }
 
   @Override
@@ -115,129 +108,171 @@
     loop.execute(
         () -> {
           handler.onOpened(this);
-          answerMemory.add(this);
+          resources.answers().add(this);
+          pressure.open(holding, this);
+          holding.set(Kind.CONNECTION, CONNECTION_BYTES, loop.now());
           startIdleTimer();
           read();
         });
   }
 
-  private final Callback fillCallback =
-      new Callback() {
-        @Override
-        public void succeeded() {
-          loop.dispatch(CallerConnection.this::onFillable);
-        }
-
-        @Override
-        public void failed(Throwable cause) {
-          loop.dispatch(CallerConnection.this::close);
-        }
-
-        @Override
-        public InvocationType getInvocationType() {
-          return InvocationType.NON_BLOCKING;
-        }
-      };
-
+  /** Waits for input, unless reading is paused. */
   private void read() {
-    if (mayRead() && !readRequested) {
+    if (closed || inputEnded || readRequested || turnQueued) {
+      return;
+    }
+    if (mayRead()) {
       readRequested = true;
       fillInterested(fillCallback);
+    } else if (!paused && (exchange == null || !input.full())) {
+      pause();
     }
   }
 
   private boolean mayRead() {
     return !closed
         && !inputEnded
-        && (closeAfterOutput || pendingInput.remaining() < MAX_PIPELINED_BYTES);
+        && (lastOutput.begun()
+            || (!input.full()
+                && !(exchange == null && unreadOutput.excessive())
+                && pressure.memory().mayRead(holding)));
+  }
+
+  private void pause() {
+    paused = true;
+    holding.pause(loop.now());
+    unreadOutput.observe(loop.now());
+    pressure.pause(this);
+  }
+
+  @Override
+  public void resume() {
+    if (closed) {
+      return;
+    }
+    long now = loop.now();
+    if (exchange == null && unreadOutput.stuck(handler.limits().idleTimeout(), now)) {
+      discard();
+      return;
+    }
+    if (!mayRead()) {
+      pressure.pause(this);
+      return;
+    }
+    paused = false;
+    assembler.postpone(holding.resume(now));
+    resources.turns().take(this::takeTurn);
   }
 
   /**
    * Reads what has arrived without waiting for the selector, so that a caller that has disconnected
    * is noticed even if the event loop is behind.
+   *
+   * @return whether everything was read that had arrived
    */
-  void readArrivedInput() {
-    fill();
+  boolean readArrivedInput() {
+    boolean allRead = !paused && fill();
+    updateHolding();
+    queueTurn(!allRead && !paused);
+    return allRead;
+  }
+
+  private void queueTurn(boolean needed) {
+    if (needed && !turnQueued && !closed) {
+      turnQueued = true;
+      resources.turns().takeLater(this::takeQueuedTurn);
+    }
   }
 
   @Override
   public void onFillable() {
     readRequested = false;
-    if (fill()) {
+    resources.turns().take(this::takeTurn);
+  }
+
+  private void takeQueuedTurn() {
+    turnQueued = false;
+    takeTurn();
+  }
+
+  /** Reads and parses a bounded part of the input. */
+  private void takeTurn() {
+    if (closed || turnQueued) {
+      return;
+    }
+    boolean allRead = fill();
+    updateHolding();
+    pressure.check();
+    if (!allRead && mayRead()) {
+      queueTurn(true);
+    } else {
       read();
     }
   }
 
-  /** Reads and parses a bounded part of the input; returns whether the connection is still open. */
+  /** Reads and parses a bounded part of the input; returns whether nothing is left of it. */
   private boolean fill() {
+    assembler.startTurn(MAX_CHUNKS_PER_TURN);
+    int remainingBytes = MAX_BYTES_PER_TURN;
     try {
+      parse();
       for (int reads = 0; reads < MAX_READS_PER_TURN && mayRead(); reads++) {
-        int filledBytes = getEndPoint().fill(readBuffer);
+        if (remainingBytes <= 0 || assembler.yielding()) {
+          return false;
+        }
+        int filledBytes = input.fill(getEndPoint());
         if (filledBytes < 0) {
           onInputEnded();
+          return true;
         } else if (filledBytes == 0) {
-          break;
-        } else if (closeAfterOutput) {
-          discardInput();
+          return !assembler.yielding() || input.empty();
+        }
+        remainingBytes -= filledBytes;
+        if (lastOutput.begun()) {
+          lastOutput.discard(input.buffer().remaining());
+          input.clear();
         } else {
-          appendInput();
           parse();
         }
       }
-    } catch (Exception e) {
+    } catch (IOException | RuntimeException e) {
       close();
     }
-    return !closed;
+    return closed || inputEnded;
   }
 
   private void onInputEnded() {
-    if (closeAfterOutput && !output.idle()) {
+    if (lastOutput.begun() && !output.idle()) {
       inputEnded = true;
     } else {
       close();
     }
   }
 
-  private void discardInput() {
-    discardedBytes += readBuffer.remaining();
-    BufferUtil.clear(readBuffer);
-    if (discardedBytes > MAX_DISCARDED_BYTES) {
-      close();
-    }
-  }
-
-  private void appendInput() {
-    if (pendingInput.capacity() - pendingInput.limit() < readBuffer.remaining()) {
-      ByteBuffer largerBuffer =
-          ByteBuffer.allocate(
-              pendingInput.remaining() + Math.max(READ_BUFFER_BYTES, readBuffer.remaining()) * 2);
-      largerBuffer.put(pendingInput).flip();
-      pendingInput = largerBuffer;
-    }
-    int position = pendingInput.position();
-    int limit = pendingInput.limit();
-    pendingInput.limit(limit + readBuffer.remaining()).position(limit);
-    pendingInput.put(readBuffer);
-    pendingInput.position(position);
-    BufferUtil.clear(readBuffer);
+  private void parse() {
+    parser.parse(handler.limits().maxHeaderBytes(), this::mayParse);
   }
 
-  /** Applies a changed limit, which an existing parser can't take over, to the next request. */
-  private void applyHeaderLimit() {
-    int newLimit = handler.limits().maxHeaderBytes();
-    if (newLimit != maxHeaderBytes && parser.isStart()) {
-      maxHeaderBytes = newLimit;
-      parser = HttpParsers.forRequests(assembler, newLimit);
-    }
+  private boolean mayParse() {
+    return !closed
+        && exchange == null
+        && !lastOutput.begun()
+        && !assembler.yielding()
+        && !unreadOutput.excessive();
   }
 
-  private void parse() {
-    applyHeaderLimit();
-    while (!closed && exchange == null && !closeAfterOutput && pendingInput.hasRemaining()) {
-      if (!parser.parseNext(pendingInput) && !pendingInput.hasRemaining()) {
-        return;
-      }
+  /** Brings the account of this connection up to date. */
+  private void updateHolding() {
+    if (exchange != null || !assembler.started()) {
+      input.releaseIfEmpty();
     }
+    long now = loop.now();
+    holding.received(assembler.contentBytesOfTurn(), now);
+    holding.set(Kind.UNPARSED, input.capacity(), now);
+    holding.set(Kind.HEAD, assembler.headMemory(), now);
+    holding.set(Kind.BODY, assembler.bodyMemory(), now);
+    CallerExchange current = exchange;
+    holding.set(Kind.RUNNING, current == null ? 0 : current.request().body().length, now);
   }
 
   /** Closes the connection; a request in progress is canceled, as its answer has no recipient. */
@@ -247,9 +282,12 @@
       return;
     }
     closed = true;
-    stopTimer();
+    timer.stop();
     handler.onClosed(this);
-    answerMemory.remove(this);
+    resources.answers().remove(this);
+    pressure.close(holding);
+    input.clear();
+    assembler.refuse();
     getEndPoint().close();
     CallerExchange currentExchange = exchange;
     if (currentExchange != null) {
@@ -278,24 +316,23 @@
 
   private void startIdleTimer() {
     idleSince = loop.now();
-    startTimer(handler.limits().idleTimeout(), this::onIdleTimer);
+    holding.begin(idleSince);
+    timer.start(handler.limits().idleTimeout(), this::onIdleTimer);
   }
 
   private void onIdleTimer() {
-    Duration remaining = remainingTime(idleSince, handler.limits().idleTimeout());
-    if (remaining.isZero()) {
-      closeIfIdle();
+    long limitNanos = handler.limits().idleTimeout().toNanos();
+    long remainingNanos = limitNanos - (loop.now() - idleSince);
+    if (remainingNanos > 0) {
+      timer.start(Duration.ofNanos(remainingNanos), this::onIdleTimer);
+    } else if (paused) {
+      // Input that has arrived can't be read now, and may be the next request.
+      timer.start(handler.limits().idleTimeout(), this::onIdleTimer);
     } else {
-      startTimer(remaining, this::onIdleTimer);
+      closeIfIdle();
     }
   }
 
-  /** Returns the rest of a time limit, which may have changed since its timer was started. */
-  private Duration remainingTime(long since, Duration limit) {
-    long remainingNanos = limit.toNanos() - (loop.now() - since);
-    return Duration.ofNanos(Math.max(0, remainingNanos));
-  }
-
   /** Closes the connection unless a request is being answered, or has arrived at least in part. */
   void closeIfIdle() {
     if (idle()) {
@@ -311,21 +348,14 @@
     return loop.now() - idleSince < limit.toNanos();
   }
 
-  private boolean idle() {
-    return exchange == null && !messageStarted && !closeAfterOutput && !pendingInput.hasRemaining();
+  /** Returns when the connection was opened, or its last answer ended, in monotonic nanoseconds. */
+  long idleSince() {
+    return idleSince;
   }
 
-  private void startTimer(Duration delay, Runnable task) {
-    stopTimer();
-    timer = loop.after(delay, task);
-  }
-
-  private void stopTimer() {
-    EventLoop.Timer runningTimer = timer;
-    if (runningTimer != null) {
-      runningTimer.cancel();
-      timer = null;
-    }
+  /** Returns whether no request is being answered and none has arrived even in part. */
+  boolean idle() {
+    return exchange == null && !assembler.started() && !lastOutput.begun() && input.empty();
   }
 
   /** Queues output; returns false if the connection is closed or too much output is queued. */
@@ -338,7 +368,7 @@
       close();
       return false;
     }
-    answerMemory.grown(addedBytes);
+    resources.answers().grown(addedBytes);
     return !closed;
   }
 
@@ -349,183 +379,115 @@
 
   @Override
   public void discard() {
+    pressure.losses().lost("answers not read", "");
     close();
   }
 
   /** Ends the current exchange, and reads the next request or closes the connection. */
   void exchangeEnded(boolean keepOpen) {
     exchange = null;
-    messageStarted = false;
+    assembler.clear();
     if (closed) {
       return;
     }
-    if (!keepOpen || parser.isClose() || parser.isClosed()) {
+    if (!keepOpen || parser.ended()) {
       closeAfterLastOutput();
       return;
     }
     parser.reset();
     startIdleTimer();
-    parse();
-    read();
+    updateHolding();
+    if (input.empty()) {
+      read();
+    } else {
+      queueTurn(true);
+    }
   }
 
   /** Closes the connection when its output is written and its input has ended or was discarded. */
   private void closeAfterLastOutput() {
-    closeAfterOutput = true;
-    awaitLastOutput(loop.now() + LAST_OUTPUT_TIMEOUT.toNanos());
+    assembler.refuse();
+    input.clear();
+    updateHolding();
+    holding.begin(loop.now());
+    lastOutput.begin(() -> inputEnded);
     read();
   }
 
-  private void awaitLastOutput(long dueAt) {
-    if (closed) {
-      return;
-    }
-    if (!output.idle() && loop.now() < dueAt) {
-      startTimer(LAST_OUTPUT_CHECK_INTERVAL, () -> awaitLastOutput(dueAt));
-    } else if (!output.idle() || inputEnded) {
-      close();
-    } else {
-      getEndPoint().shutdownOutput();
-      startTimer(DISCARD_TIMEOUT, this::close);
-    }
-  }
-
   private void refuseAndClose(int status) {
-    HttpFields headers =
-        HttpFields.build().add(HttpHeader.CONNECTION, "close").add(HttpHeader.CONTENT_LENGTH, "0");
-    write(HttpText.responseHead(status, headers));
+    write(HttpText.refusalHead(status));
     closeAfterLastOutput();
   }
 
-  /** Collects the parsed parts of a request until it is complete. */
-  private final class RequestAssembler implements HttpParser.RequestHandler {
-    private String method = "";
-    private String target = "";
-    private HttpFields.Mutable headers = HttpFields.build();
-    private ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private HttpVersion version = HttpVersion.HTTP_1_1;
-    private boolean refused;
-    private long messageStartedAt;
-    private boolean headRead;
-    private long headReadAt;
-    private long lastContentAt;
-
-    @Override
-    public void messageBegin() {
-      messageStarted = true;
-      messageStartedAt = loop.now();
-      headRead = false;
-      startTimer(handler.limits().headerTimeout(), this::refuseIfLate);
-    }
-
-    /** Refuses the request if it is not complete when its time is over. */
-    private void refuseIfLate() {
-      readArrivedInput();
-      if (closed || closeAfterOutput || exchange != null) {
-        return;
-      }
-      Duration remaining = remainingTime();
-      if (remaining.isZero()) {
-        refuseAndClose(408);
-      } else {
-        startTimer(remaining, this::refuseIfLate);
-      }
+  @Override
+  public String giveUp() {
+    if (closed || exchange != null) {
+      return "";
     }
-
-    private Duration remainingTime() {
-      CallerLimits limits = handler.limits();
-      if (!headRead) {
-        return CallerConnection.this.remainingTime(messageStartedAt, limits.headerTimeout());
-      }
-      Duration untilIdle = CallerConnection.this.remainingTime(lastContentAt, limits.idleTimeout());
-      Duration untilLimit = CallerConnection.this.remainingTime(headReadAt, MAX_BODY_TIME);
-      return untilIdle.compareTo(untilLimit) < 0 ? untilIdle : untilLimit;
+    String workspace = handler.workspaceOf(assembler.headers());
+    if (lastOutput.begun() || idle()) {
+      pressure.losses().lost("connection", workspace);
+      close();
+    } else if (assembler.started()) {
+      pressure.losses().lost("request not read whole", workspace);
+      refuseAndClose(503);
+    } else {
+      pressure.losses().lost("pipelined requests", workspace);
+      closeAfterLastOutput();
     }
+    return workspace;
+  }
 
+  /** Carries out what the assembler of requests reports. */
+  private final class Assembled implements RequestAssembler.Receiver {
     @Override
-    public void startRequest(String requestMethod, String uri, HttpVersion requestVersion) {
-      method = requestMethod;
-      target = uri;
-      version = requestVersion;
-      headers = HttpFields.build();
-      body = new ByteArrayOutputStream();
+    public void onBegin() {
+      holding.begin(loop.now());
     }
 
     @Override
-    public void parsedHeader(HttpField field) {
-      headers.add(field);
+    public void onComplete(CallerRequest request, boolean closeAfterAnswer) {
+      CallerExchange newExchange =
+          CallerExchange.of(CallerConnection.this, request, closeAfterAnswer);
+      exchange = newExchange;
+      holding.run();
+      loop.execute(() -> handle(newExchange));
     }
 
     @Override
-    public boolean headerComplete() {
-      headRead = true;
-      headReadAt = loop.now();
-      lastContentAt = headReadAt;
-      startTimer(remainingTime(), this::refuseIfLate);
-      long contentLength = headers.getLongField(HttpHeader.CONTENT_LENGTH);
-      if (contentLength > handler.limits().maxBodyBytes()) {
-        refused = true;
-        refuseAndClose(413);
-        return true;
+    public void onRefused(int status, String reason) {
+      if (closed || lastOutput.begun()) {
+        return;
       }
-      if (headers.contains(HttpHeader.EXPECT, HttpHeaderValue.CONTINUE.asString())) {
-        write(HttpText.responseHead(100, HttpFields.EMPTY));
+      if (status == 408) {
+        pressure.losses().lost(reason, handler.workspaceOf(assembler.headers()));
       }
-      return false;
+      refuseAndClose(status);
     }
 
     @Override
-    public boolean content(ByteBuffer content) {
-      if (refused) {
-        return true;
-      }
-      lastContentAt = loop.now();
-      if (body.size() + content.remaining() > handler.limits().maxBodyBytes()) {
-        refused = true;
-        refuseAndClose(413);
-        return true;
-      }
-      byte[] bytes = new byte[content.remaining()];
-      content.get(bytes);
-      body.writeBytes(bytes);
-      return false;
+    public void onContinueExpected() {
+      write(HttpText.responseHead(100, HttpFields.EMPTY));
     }
 
     @Override
-    public boolean contentComplete() {
-      return false;
+    public boolean readArrived() {
+      return readArrivedInput();
     }
 
     @Override
-    public boolean messageComplete() {
-      if (refused || closeAfterOutput) {
-        return true;
-      }
-      stopTimer();
-      boolean closeAfterAnswer =
-          version != HttpVersion.HTTP_1_1
-              || headers.contains(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
-      CallerRequest request =
-          new CallerRequest(method, target, headers.asImmutable(), body.toByteArray(), loop.now());
-      CallerExchange newExchange =
-          CallerExchange.of(CallerConnection.this, request, closeAfterAnswer);
-      exchange = newExchange;
-      body = new ByteArrayOutputStream();
-      loop.execute(() -> handle(newExchange));
-      return true;
+    public void startTimer(Duration delay, Runnable task) {
+      timer.start(delay, task);
     }
 
     @Override
-    public void earlyEOF() {
-      close();
+    public void stopTimer() {
+      timer.stop();
     }
 
     @Override
-    public void badMessage(HttpException failure) {
-      if (!refused && !closeAfterOutput) {
-        refused = true;
-        refuseAndClose(failure.getCode());
-      }
+    public CallerLimits limits() {
+      return handler.limits();
     }
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -5,12 +5,12 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpFields;
+import org.oriolewell.core.overload.BodyRate;
 import org.oriolewell.core.overload.CallerPatience;
 import org.oriolewell.core.overload.FirstByteTimes;
 import org.oriolewell.core.overload.ForecastBias;
@@ -20,6 +20,7 @@
 import org.oriolewell.core.roster.Ipv4SocketAddress;
 import org.oriolewell.core.route.CallerLimits;
 import org.oriolewell.core.route.RouteTable;
+import org.oriolewell.core.route.Workspace;
 import org.oriolewell.gateway.ControlFeed.Peer;
 import org.oriolewell.runtime.log.EventLog;
 import org.oriolewell.runtime.log.LogOutput;
@@ -62,13 +63,15 @@
   private final EventLog log;
   private final ControlPlane control;
   private final AnswerMemory answerMemory;
+  private final CallerPressure callerPressure;
+  private final CallerGate callerGate;
+  private final RequestDialect dialect;
   private final UpstreamClient client;
   private final StageCoordinator stageCoordinator;
   private final PeerMesh mesh;
   private final RequestIntake intake;
   private final StopGate stopGate;
   private final Duration stopTimeout;
-  private final Set<CallerConnection> callerConnections = new HashSet<>();
   private final CountDownLatch stopFinished = new CountDownLatch(1);
   private final InetSocketAddress callersAddress;
   private EventLoop.Listener callerListener;
@@ -78,9 +81,17 @@
       throws IOException {
     log = EventLog.of("gateway", clock);
     loop = EventLoop.start("gateway", log, CONNECT_TIMEOUT, Gateway::endProcess);
-    RequestDialect dialect = platformAdapter.requestDialect();
-    answerMemory = new AnswerMemory(settings.value(GatewaySettings.MAX_BUFFERED_BYTES), log);
-    client = UpstreamClient.create(loop, dialect.attemptIdHeader(), answerMemory);
+    dialect = platformAdapter.requestDialect();
+    PrometheusRegistry registry = new PrometheusRegistry();
+    final GatewayMetrics metrics = GatewayMetrics.register(registry);
+    CallerBounds bounds = CallerBounds.of(settings);
+    answerMemory = new AnswerMemory(bounds.memory().responseBytes(), log);
+    callerPressure =
+        new CallerPressure(loop, bounds.memory().inputBytes(), log, metrics::callerLost);
+    callerGate = new CallerGate(bounds.connections(), log, metrics::callerLost);
+    client =
+        UpstreamClient.create(
+            loop, dialect.attemptIdHeader(), answerMemory, bounds.connections().maxUpstreams());
     StoreCaller store =
         StoreCaller.create(
             loop, client, Ipv4SocketAddress.parse(settings.value(GatewaySettings.STORE_ADDRESS)));
@@ -102,8 +113,6 @@
             clock,
             log);
     Regions regions = Regions.parse(settings.value(GatewaySettings.ZONE_REGIONS));
-    PrometheusRegistry registry = new PrometheusRegistry();
-    final GatewayMetrics metrics = GatewayMetrics.register(registry);
     final UpstreamHealth health = UpstreamHealth.create();
     stageCoordinator =
         new StageCoordinator(loop, control, client, platformAdapter.stageDialect(), regions, log);
@@ -151,10 +160,23 @@
               metrics.setBufferedBytes(answerMemory.bytes());
               metrics.setViewAge(control.ageMillis() / 1000.0);
               metrics.setQuarantined(crashGuard.quarantinedCount());
+              metrics.setCallerBytes(callerPressure.memory().bytesByKind());
+              metrics.setCallerConnections(callerGate.connections().size());
             });
     EventLoop.Listener operatorListener =
-        listenHttp(settings.value(GatewaySettings.OPERATOR_ADDRESS), operatorsHandler);
-    callerListener = listenHttp(settings.value(GatewaySettings.CALLER_ADDRESS), this);
+        listenHttp(
+            settings.value(GatewaySettings.OPERATOR_ADDRESS),
+            operatorsHandler,
+            new CallerPressure(loop, CallerBounds.OPERATOR_BYTES, log, metrics::callerLost),
+            bounds.bodyRate(),
+            EventLoop.AcceptGate.OPEN);
+    callerListener =
+        listenHttp(
+            settings.value(GatewaySettings.CALLER_ADDRESS),
+            this,
+            callerPressure,
+            bounds.bodyRate(),
+            callerGate);
     callersAddress = callerListener.address();
     log.event(GatewayEvent.STARTED)
         .with("node", self.name())
@@ -162,6 +184,7 @@
         .with("operators", operatorListener.address())
         .with("peers", self.address())
         .write();
+    bounds.log(log);
     loop.execute(this::startOnLoop);
   }
 
@@ -181,11 +204,19 @@
     Runtime.getRuntime().halt(ExitCode.FAILED);
   }
 
-  private EventLoop.Listener listenHttp(String address, CallerConnection.Handler handler)
+  private EventLoop.Listener listenHttp(
+      String address,
+      CallerConnection.Handler handler,
+      CallerPressure pressure,
+      BodyRate bodyRate,
+      EventLoop.AcceptGate gate)
       throws IOException {
+    CallerResources resources =
+        new CallerResources(loop, answerMemory, pressure, new CallerTurns(loop), bodyRate);
     return loop.listen(
         UpstreamClient.toInetSocketAddress(Ipv4SocketAddress.parseBindAddress(address)),
-        endPoint -> new CallerConnection(endPoint, loop::execute, loop, handler, answerMemory));
+        endPoint -> new CallerConnection(endPoint, loop::execute, handler, resources),
+        gate);
   }
 
   private void startOnLoop() {
@@ -194,6 +225,9 @@
     stageCoordinator.start(mesh);
     control.start();
     loop.every(IDLE_SWEEP_INTERVAL, client::closeStale);
+    loop.every(
+        CallerGate.CHECK_INTERVAL,
+        () -> callerGate.check(() -> loop.resumeAccepting(callerListener)));
   }
 
   private boolean ready() {
@@ -213,17 +247,26 @@
 
   @Override
   public boolean stopping() {
-    return stopping;
+    return stopping || callerGate.crowded();
+  }
+
+  @Override
+  public String workspaceOf(HttpFields headers) {
+    RouteTable table = control.table();
+    String apiKey = dialect.decode(headers).apiKey();
+    return table == null || apiKey == null
+        ? ""
+        : table.workspace(apiKey).map(Workspace::name).orElse("");
   }
 
   @Override
   public void onOpened(CallerConnection connection) {
-    callerConnections.add(connection);
+    callerGate.opened(connection);
   }
 
   @Override
   public void onClosed(CallerConnection connection) {
-    callerConnections.remove(connection);
+    callerGate.closed(connection);
   }
 
   /** Returns the bound address of the callers' port. */
@@ -285,14 +328,15 @@
   }
 
   private void closeIdleCallers() {
-    List.copyOf(callerConnections).stream()
+    callerGate.connections().stream()
         .filter(connection -> !connection.recentlyUsed(NEXT_REQUEST_TIMEOUT))
         .forEach(CallerConnection::closeIfIdle);
   }
 
   private void awaitIdle(long stopStartedAt) {
     closeIdleCallers();
-    boolean idle = callerConnections.isEmpty() && intake.inFlight() == 0 && stageCoordinator.idle();
+    boolean idle =
+        callerGate.connections().isEmpty() && intake.inFlight() == 0 && stageCoordinator.idle();
     boolean timedOut = loop.now() - stopStartedAt > stopTimeout.minus(STOP_MARGIN).toNanos();
     if (idle) {
       stopFinished.countDown();
@@ -308,7 +352,7 @@
   private void awaitOutput(long outputStartedAt) {
     closeIdleCallers();
     boolean timedOut = loop.now() - outputStartedAt > STOP_OUTPUT_TIMEOUT.toNanos();
-    if (callerConnections.isEmpty() || timedOut) {
+    if (callerGate.connections().isEmpty() || timedOut) {
       stopFinished.countDown();
     } else {
       loop.after(STOP_CHECK_INTERVAL, () -> awaitOutput(outputStartedAt));
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -89,7 +89,29 @@
       "The answers in progress take up more memory than upstreams.max_buffered_bytes allows; the"
           + " largest ones were ended."),
   REQUEST_STEP_FAILED(
-      8060, Level.SEVERE, "The processing of a request failed with an exception; it was ended.");
+      8060, Level.SEVERE, "The processing of a request failed with an exception; it was ended."),
+  CALLERS_PAUSED(
+      8090,
+      Level.WARNING,
+      "Callers' requests take up most of their memory; only small ones are read until it is free."),
+  CALLERS_SHED(
+      8091,
+      Level.WARNING,
+      "Callers' requests took up too much memory; those that had held the most for the longest with"
+          + " the least progress were refused with 503, or their connections closed."),
+  ACCEPTING_PAUSED(
+      8092,
+      Level.WARNING,
+      "Callers have as many connections open as the descriptors allow; no more are accepted until"
+          + " some have ended."),
+  ACCEPTING_RESUMED(8093, Level.INFO, "Connections of callers are accepted again."),
+  IDLE_CALLERS_CLOSED(
+      8094, Level.INFO, "Callers have many connections open; the longest idle ones were closed."),
+  CALLER_BOUNDS(
+      8095,
+      Level.INFO,
+      "The bounds on what callers can take up, derived from the heap, the descriptors and the"
+          + " settings.");
 
   private final Description description;
 
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
@@ -4,6 +4,9 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Locale;
+import java.util.Map;
+import org.oriolewell.core.overload.CallerHolding;
 
 /** Prometheus metrics of the gateway. */
 final class GatewayMetrics {
@@ -21,6 +24,9 @@
   private final Gauge bufferedBytes;
   private final Gauge viewAge;
   private final Gauge quarantinedParts;
+  private final Gauge callerBytes;
+  private final Gauge callerConnections;
+  private final Counter callerLosses;
 
   private GatewayMetrics(PrometheusRegistry registry) {
     requests =
@@ -74,6 +80,23 @@
             .name("oriolewell_gateway_quarantined_prompt_parts")
             .help("Prompt parts whose requests are refused since they crash engines.")
             .register(registry);
+    callerBytes =
+        Gauge.builder()
+            .name("oriolewell_gateway_caller_bytes")
+            .help("Bytes that callers' connections and requests take up, by kind.")
+            .labelNames("kind")
+            .register(registry);
+    callerConnections =
+        Gauge.builder()
+            .name("oriolewell_gateway_caller_connections")
+            .help("Open connections of callers.")
+            .register(registry);
+    callerLosses =
+        Counter.builder()
+            .name("oriolewell_gateway_caller_losses_total")
+            .help("Requests refused and connections closed to save memory or descriptors.")
+            .labelNames("reason", "workspace")
+            .register(registry);
   }
 
   /** Creates the metrics and registers them. */
@@ -116,6 +139,22 @@
     bufferedBytes.set(byteCount);
   }
 
+  /** Sets what callers' connections take up. */
+  void setCallerBytes(Map<CallerHolding.Kind, Long> bytesByKind) {
+    bytesByKind.forEach(
+        (kind, bytes) -> callerBytes.labelValues(kind.name().toLowerCase(Locale.ROOT)).set(bytes));
+  }
+
+  /** Sets the number of open connections of callers. */
+  void setCallerConnections(int connectionCount) {
+    callerConnections.set(connectionCount);
+  }
+
+  /** Counts a request that was refused, or a connection that was closed, to save memory. */
+  void callerLost(String reason, String workspace) {
+    callerLosses.labelValues(reason, workspace).inc();
+  }
+
   /** Sets the number of prompt parts in quarantine. */
   void setQuarantined(int partCount) {
     quarantinedParts.set(partCount);
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewaySettings.java
@@ -117,6 +117,42 @@
           "Largest sum of what is kept of all answers in progress and of output that callers have"
               + " not read, in bytes.");
 
+  /** Largest sum of what callers' connections hold of their requests. */
+  public static final Setting<Integer> MAX_INPUT_BYTES =
+      Setting.integer(
+          "callers.max_input_bytes",
+          0,
+          0,
+          1 << 30,
+          "Most memory for connections and requests of callers, in bytes; 0 for 30% of the heap.");
+
+  /** Largest number of callers' connections. */
+  public static final Setting<Integer> MAX_CONNECTIONS =
+      Setting.integer(
+          "callers.max_connections",
+          0,
+          0,
+          1_000_000,
+          "Most connections of callers; 0 for less than half of the free descriptors.");
+
+  /** Least mean rate at which the body of a request must arrive. */
+  public static final Setting<Integer> MIN_BODY_RATE =
+      Setting.integer(
+          "callers.min_body_bytes_per_second",
+          4 << 10,
+          0,
+          1 << 30,
+          "Least mean rate of a request's body after the grace, in bytes a second; 0 for none.");
+
+  /** Time in which the body of a request may arrive at any rate. */
+  public static final Setting<Duration> BODY_GRACE =
+      Setting.millis(
+          "callers.body_grace_millis",
+          Duration.ofSeconds(10),
+          Duration.ZERO,
+          Duration.ofMinutes(10),
+          "Time in which a request's body may arrive at any rate.");
+
   /** The settings in the order in which they are listed to operators. */
   public static final SettingsSpec SPEC =
       SettingsSpec.of(
@@ -139,7 +175,11 @@
               RETRY_SLACK,
               RETRY_WINDOW,
               MAX_ANSWER_BYTES,
-              MAX_BUFFERED_BYTES));
+              MAX_BUFFERED_BYTES,
+              MAX_INPUT_BYTES,
+              MAX_CONNECTIONS,
+              MIN_BODY_RATE,
+              BODY_GRACE));
 
   private GatewaySettings() {}
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/HttpText.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/HttpText.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 
 /**
@@ -21,6 +22,16 @@
     return head(method + " " + target + " HTTP/1.1\r\n", headers);
   }
 
+  /** Returns the head of a response without a body, after which the connection is closed. */
+  static ByteBuffer refusalHead(int status) {
+    HttpFields.Mutable headers =
+        HttpFields.build().add(HttpHeader.CONNECTION, "close").add(HttpHeader.CONTENT_LENGTH, "0");
+    if (status == 503) {
+      headers.add(HttpHeader.RETRY_AFTER, "1");
+    }
+    return responseHead(status, headers);
+  }
+
   /** Returns the status line and the headers of a response. */
   static ByteBuffer responseHead(int status, HttpFields headers) {
     return head("HTTP/1.1 " + status + " " + HttpStatus.getMessage(status) + "\r\n", headers);
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -27,8 +28,12 @@
   private final Executor executor;
   private final String attemptIdHeader;
   private final AnswerMemory answerMemory;
+  private final int maxConnections;
   private final Map<String, Pool> poolsByKey = new HashMap<>();
 
+  /** Connections that are open or being opened. */
+  private int connectionCount;
+
   /** A request in progress, which can be canceled. */
   interface Call {
     /** Cancels the request; its listener isn't called any more. */
@@ -68,11 +73,14 @@
     @Override
     public void onClosed(UpstreamConnection connection) {
       openCount--;
+      connectionCount--;
       idleConnections.remove(connection);
     }
   }
 
-  private UpstreamClient(EventLoop loop, String attemptIdHeader, AnswerMemory answerMemory) {
+  private UpstreamClient(
+      EventLoop loop, String attemptIdHeader, AnswerMemory answerMemory, int maxConnections) {
+    this.maxConnections = maxConnections;
     this.loop = loop;
     this.attemptIdHeader = attemptIdHeader;
     this.answerMemory = answerMemory;
@@ -84,9 +92,11 @@
    *
    * @param attemptIdHeader name of the header that carries the identifier of the answered attempt
    * @param answerMemory memory of the answers in progress
+   * @param maxConnections most connections, which the descriptors of the process allow
    */
-  static UpstreamClient create(EventLoop loop, String attemptIdHeader, AnswerMemory answerMemory) {
-    return new UpstreamClient(loop, attemptIdHeader, answerMemory);
+  static UpstreamClient create(
+      EventLoop loop, String attemptIdHeader, AnswerMemory answerMemory, int maxConnections) {
+    return new UpstreamClient(loop, attemptIdHeader, answerMemory, maxConnections);
   }
 
   /**
@@ -126,6 +136,11 @@
       Ipv4SocketAddress address,
       Consumer<UpstreamConnection> onOpened,
       Consumer<Throwable> onFailed) {
+    if (connectionCount >= maxConnections && !closeIdle()) {
+      loop.execute(() -> onFailed.accept(new DescriptorsExhaustedException(maxConnections)));
+      return;
+    }
+    connectionCount++;
     loop.connect(
         toInetSocketAddress(address),
         endPoint -> {
@@ -138,7 +153,24 @@
               });
           return connection;
         },
-        onFailed);
+        cause -> {
+          connectionCount--;
+          onFailed.accept(cause);
+        });
+  }
+
+  /** Closes the oldest idle connection of the pool with the most; returns false if none is idle. */
+  private boolean closeIdle() {
+    Deque<UpstreamConnection> mostIdle =
+        poolsByKey.values().stream()
+            .map(pool -> pool.idleConnections)
+            .max(Comparator.comparingInt(Deque::size))
+            .orElseGet(ArrayDeque::new);
+    UpstreamConnection oldest = mostIdle.peekFirst();
+    if (oldest != null) {
+      oldest.close();
+    }
+    return oldest != null;
   }
 
   /** A request that waits for its connection to be opened. */
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
@@ -35,7 +35,7 @@
   private static final long MAX_QUEUED_OUTPUT_BYTES = 16 << 20;
 
   /** Reads in a row after which other connections of the event loop get their turn. */
-  private static final int MAX_READS_PER_TURN = 16;
+  private static final int MAX_READS_PER_TURN = 4;
 
   /**
    * Most bytes of an answer that are not part of its body, beyond the size of the body: heads,
--- a/gateway/src/test/java/org/oriolewell/gateway/CallerExchangeTest.java
+++ b/gateway/src/test/java/org/oriolewell/gateway/CallerExchangeTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.oriolewell.core.overload.BodyRate;
 import org.oriolewell.core.route.CallerLimits;
 import org.oriolewell.runtime.log.EventLog;
 import org.oriolewell.runtime.net.EventLoop;
@@ -33,10 +34,15 @@
   @BeforeEach
   void receiveRequest() throws Exception {
     CompletableFuture<CallerExchange> received = new CompletableFuture<>();
-    AnswerMemory answerMemory =
-        new AnswerMemory(1 << 20, EventLog.of("test", InstantSource.system()));
-    connection =
-        new CallerConnection(endPoint, loop::execute, loop, handler(received), answerMemory);
+    EventLog log = EventLog.of("test", InstantSource.system());
+    CallerResources resources =
+        new CallerResources(
+            loop,
+            new AnswerMemory(1 << 20, log),
+            new CallerPressure(loop, 1 << 20, log, (reason, workspace) -> {}),
+            new CallerTurns(loop),
+            new BodyRate(0, Duration.ZERO));
+    connection = new CallerConnection(endPoint, loop::execute, handler(received), resources);
     endPoint.setConnection(connection);
     endPoint.addInput("GET / HTTP/1.1\r\nHost: h.example\r\n\r\n");
     connection.onOpen();
