--- a/core/src/main/java/org/oriolewell/core/upstream/UpstreamRecords.java
+++ b/core/src/main/java/org/oriolewell/core/upstream/UpstreamRecords.java
@@ -166,9 +166,16 @@
     }
   }
 
-  /** Returns the number of incarnations that have stated to leave and are remembered. */
-  public int leavingCount() {
-    return (int) records.values().stream().filter(UpstreamRecord::leaving).count();
+  /**
+   * Returns the number of incarnations that have an entry and have stated to leave.
+   *
+   * @param listed whether an incarnation has an entry
+   */
+  public int leavingCount(Predicate<Incarnation> listed) {
+    return (int)
+        records.entrySet().stream()
+            .filter(entry -> entry.getValue().leaving() && listed.test(entry.getKey()))
+            .count();
   }
 
   /** Returns the number of incarnations whose pause has not ended. */
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamStatements.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamStatements.java
@@ -151,6 +151,7 @@
 
   /** Sets the metrics of the upstreams that get no requests. */
   void updateMetrics() {
-    metrics.setRestrictedUpstreams(records.leavingCount(), records.pausedCount(loop.now()));
+    metrics.setRestrictedUpstreams(
+        records.leavingCount(this::listed), records.pausedCount(loop.now()));
   }
 }
