Keep requests to cold upstreams within the rate that they take

Cause: an upstream that has just started got its full share of requests from every gateway and crashed.

A cold upstream needs permits of one gateway, through the message ColdPermitRequest and the issuer of named limits. Permits that arrive late are not used. Stage queues follow the same rule.

--- a/core/src/main/java/org/oriolewell/core/route/RouteTable.java
+++ b/core/src/main/java/org/oriolewell/core/route/RouteTable.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 
 /** Routes, services and API keys of one version of the configuration. Immutable. */
@@ -91,6 +92,21 @@
     return Optional.empty();
   }
 
+  /** Returns the restrictions to regions, by what has them: the route or workspace and its name. */
+  public Map<String, AllowedRegions> regionRestrictions() {
+    Map<String, AllowedRegions> restrictions = new TreeMap<>();
+    routesByHost.values().stream()
+        .flatMap(List::stream)
+        .filter(route -> route.allowedRegions().restricted())
+        .forEach(route -> restrictions.put("route " + route.name(), route.allowedRegions()));
+    workspacesByKey.values().stream()
+        .filter(workspace -> workspace.allowedRegions().restricted())
+        .forEach(
+            workspace ->
+                restrictions.put("workspace " + workspace.name(), workspace.allowedRegions()));
+    return restrictions;
+  }
+
   /** Returns whether a request of the route needs an API key. */
   public boolean needsKey(Route route) {
     return keysRequired && !route.anonymous();
--- a/core/src/main/java/org/oriolewell/core/route/ServiceSpec.java
+++ b/core/src/main/java/org/oriolewell/core/route/ServiceSpec.java
@@ -9,5 +9,12 @@
  * @param stageCapacity capacity of each upstream of the service for stages; null if it runs no
  *     stages
  * @param engine whether the upstreams of the service are model engines
+ * @param coldStart how upstreams of the service behave after a start
  */
-public record ServiceSpec(String name, @Nullable StageService stageCapacity, boolean engine) {}
+public record ServiceSpec(
+    String name, @Nullable StageService stageCapacity, boolean engine, ColdStart coldStart) {
+  /** Creates a service whose upstreams are never cold. */
+  public ServiceSpec(String name, @Nullable StageService stageCapacity, boolean engine) {
+    this(name, stageCapacity, engine, ColdStart.NEVER);
+  }
+}
--- a/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
@@ -16,7 +16,9 @@
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.roster.UpstreamRoster;
 import org.oriolewell.core.roster.ViewFreshness;
+import org.oriolewell.core.route.ColdStart;
 import org.oriolewell.core.route.RouteTable;
+import org.oriolewell.core.route.ServiceSpec;
 import org.oriolewell.core.routing.Hashing;
 import org.oriolewell.gateway.ControlFeed.Batch;
 import org.oriolewell.gateway.ControlFeed.Peer;
@@ -53,6 +55,9 @@
   private final Map<String, Peer> peersByName = new HashMap<>();
   private final List<Runnable> changeListeners = new ArrayList<>();
   private QuarantineListener quarantineListener = new QuarantineListener() {};
+  private UpstreamListener upstreamListener = (entry, duringTraffic) -> {};
+  private long viewKnownSince;
+  private boolean viewKnown;
   private EvacuationListener evacuationListener = new EvacuationListener() {};
   private @Nullable RouteTable table;
   private final Duration settleTime;
@@ -98,6 +103,17 @@
     default void onSnapshot(Map<String, Duration> trialDelaysBySubject, boolean restored) {}
   }
 
+  /** Receives the entries of upstreams. */
+  @FunctionalInterface
+  interface UpstreamListener {
+    /**
+     * Called when an entry was read.
+     *
+     * @param duringTraffic whether the upstreams that are listed had been read before
+     */
+    void onListed(UpstreamEntry entry, boolean duringTraffic);
+  }
+
   /** Receives the operators' orders to evacuate availability zones. */
   interface EvacuationListener {
     /** Called when an order is in the store. */
@@ -182,6 +198,23 @@
     quarantineListener = listener;
   }
 
+  /** Sets the receiver of the upstreams' entries. */
+  void upstreamListener(UpstreamListener listener) {
+    upstreamListener = listener;
+  }
+
+  /**
+   * Returns whether the store has confirmed the list of gateways for a time after it was first
+   * read, in which gateways that started at the same time have registered.
+   */
+  boolean peersSettled(Duration settlingTime) {
+    long ageMillis = ageMillis();
+    return viewKnown
+        && ageMillis >= 0
+        && loop.now() - Duration.ofMillis(ageMillis).toNanos() - viewKnownSince
+            >= settlingTime.toNanos();
+  }
+
   /** Sets the receiver of the orders to evacuate zones. */
   void evacuationListener(EvacuationListener listener) {
     evacuationListener = listener;
@@ -192,6 +225,14 @@
     return table;
   }
 
+  /** Returns the cold start of a service; null while no configuration is known. */
+  @Nullable ColdStart coldStart(String service) {
+    RouteTable currentTable = table;
+    return currentTable == null
+        ? null
+        : currentTable.service(service).map(ServiceSpec::coldStart).orElse(ColdStart.NEVER);
+  }
+
   /** Returns the known upstreams of all services. */
   UpstreamRoster roster() {
     return roster;
@@ -422,6 +463,14 @@
       }
     }
     guard.run("roster", () -> roster.replaceAll(upstreams, loop.now()));
+    final boolean duringTraffic = viewKnown;
+    guard.run(
+        "cold upstreams",
+        () -> upstreams.forEach(entry -> upstreamListener.onListed(entry, duringTraffic)));
+    if (!viewKnown) {
+      viewKnown = true;
+      viewKnownSince = loop.now();
+    }
     if (restored) {
       final long readLeaseId = ownLeaseId;
       keepPeersForLease(listedNames);
@@ -512,7 +561,11 @@
   private void applyUpstream(UpstreamEntry entry) {
     UpstreamInstance upstream = entry.instance();
     boolean alreadyListed = roster.find(upstream.id()).filter(upstream::equals).isPresent();
-    if (roster.entryWritten(entry, loop.now()) && !alreadyListed) {
+    boolean accepted = roster.entryWritten(entry, loop.now());
+    if (accepted) {
+      upstreamListener.onListed(entry, true);
+    }
+    if (accepted && !alreadyListed) {
       log.event(GatewayEvent.UPSTREAM_LISTED)
           .with("upstream", upstream.id())
           .with("service", upstream.service())
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.oriolewell.core.eligibility.ColdUpstreams;
 import org.oriolewell.core.eligibility.EligibilityCheck;
 import org.oriolewell.core.eligibility.RegionRule;
 import org.oriolewell.core.overload.CallerPatience;
@@ -67,6 +68,9 @@
   private final UpstreamClient client;
   private final EligibilityCheck eligibility;
   private final Evacuations evacuations;
+  private final ColdUpstreams coldUpstreams;
+  private final UpstreamLimits upstreamLimits;
+  private final RuleLog ruleLog;
   private final StageCoordinator stageCoordinator;
   private final PeerMesh mesh;
   private final RequestIntake intake;
@@ -121,7 +125,10 @@
     mesh.observationListener(exchange);
     CrashGuard crashGuard = new CrashGuard(loop, control, feed, client, exchange, log);
     stopGate = new StopGate(loop);
-    UpstreamLimits upstreamLimits = new UpstreamLimits(loop, control, mesh, regions, exchange, log);
+    coldUpstreams = ColdUpstreams.create(self.name(), control::coldStart);
+    ruleLog = new RuleLog(loop, control, regions, coldUpstreams, log);
+    upstreamLimits =
+        new UpstreamLimits(loop, control, mesh, regions, exchange, coldUpstreams, metrics, log);
     evacuations = new Evacuations(regions, log);
     control.evacuationListener(evacuations);
     eligibility =
@@ -165,6 +172,7 @@
               metrics.setBufferedBytes(answerMemory.bytes());
               metrics.setViewAge(control.ageMillis() / 1000.0);
               metrics.setQuarantined(crashGuard.quarantinedCount());
+              metrics.setColdUpstreams(coldUpstreams.coldCount(loop.now()));
               metrics.setEvacuatedZones(evacuations.zones().size());
             });
     EventLoop.Listener operatorListener =
@@ -206,9 +214,10 @@
   private void startOnLoop() {
     control.onChange(mesh::updatePeers);
     control.onChange(stageCoordinator::refreshUpstreams);
-    stageCoordinator.start(mesh, eligibility, evacuations.zones());
+    stageCoordinator.start(mesh, eligibility, evacuations.zones(), coldUpstreams, upstreamLimits);
     control.start();
     loop.every(IDLE_SWEEP_INTERVAL, client::closeStale);
+    loop.every(IDLE_SWEEP_INTERVAL, ruleLog::tick);
   }
 
   private boolean ready() {
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -105,7 +105,10 @@
       8074,
       Level.WARNING,
       "A restored store lacks a known evacuation; it stays in force until the history is"
-          + " settled.");
+          + " settled."),
+  UPSTREAM_COLD(
+      8075, Level.INFO, "An upstream is cold: requests to it need permits until it is warm."),
+  UPSTREAM_WARM(8076, Level.INFO, "Requests to an upstream that was cold need no more permits.");
 
   private final Description description;
 
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
@@ -25,6 +25,8 @@
   private final Gauge quarantinedParts;
   private final Gauge evacuatedZones;
   private final Counter placedElsewhere;
+  private final Counter coldPermits;
+  private final Gauge coldUpstreams;
 
   private GatewayMetrics(PrometheusRegistry registry) {
     requests =
@@ -83,6 +85,17 @@
             .name("oriolewell_gateway_evacuated_zones")
             .help("Availability zones whose upstreams get no more calls.")
             .register(registry);
+    coldPermits =
+        Counter.builder()
+            .name("oriolewell_gateway_cold_permits_total")
+            .help("Permits that requests to cold upstreams asked for, by result.")
+            .labelNames("result")
+            .register(registry);
+    coldUpstreams =
+        Gauge.builder()
+            .name("oriolewell_gateway_cold_upstreams")
+            .help("Upstreams that are cold.")
+            .register(registry);
     placedElsewhere =
         Counter.builder()
             .name("oriolewell_gateway_placed_elsewhere_total")
@@ -141,6 +154,16 @@
     evacuatedZones.set(zoneCount);
   }
 
+  /** Counts the answer to a request for a permit for a cold upstream. */
+  void coldPermit(boolean granted) {
+    coldPermits.labelValues(granted ? "granted" : "refused").inc();
+  }
+
+  /** Sets the number of cold upstreams. */
+  void setColdUpstreams(int upstreamCount) {
+    coldUpstreams.set(upstreamCount);
+  }
+
   /** Counts the choice of an upstream that rules kept from some upstreams of the service. */
   void placedElsewhere(Set<Reason> reasons) {
     reasons.forEach(reason -> placedElsewhere.labelValues(reason.label()).inc());
--- a/gateway/src/main/java/org/oriolewell/gateway/PeerMesh.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/PeerMesh.java
@@ -78,6 +78,9 @@
     /** Called for a request of a gateway that connected to this one. */
     void onPermitRequest(WireConnection connection, Message.PermitRequest request);
 
+    /** Called for a request for a permit for a cold upstream. */
+    void onColdPermitRequest(WireConnection connection, Message.ColdPermitRequest request);
+
     /** Called for an answer. */
     void onPermitReply(Message.PermitReply reply);
   }
@@ -233,6 +236,11 @@
         if (currentListener != null) {
           currentListener.onPermitRequest(connection, request);
         }
+      } else if (message instanceof Message.ColdPermitRequest request) {
+        PermitListener currentListener = permitListener;
+        if (currentListener != null) {
+          currentListener.onColdPermitRequest(connection, request);
+        }
       } else {
         Origin origin = originsByConnection.get(connection);
         if (origin != null) {
@@ -418,6 +426,37 @@
     return bestName;
   }
 
+  /**
+   * Returns whether more than half of a region's known gateways are usable from here, or of all
+   * known gateways if the region has none. At most one side of a network partition has them.
+   * Gateways that have connected to this one count as known, since a gateway that has just started
+   * may have read an incomplete list.
+   */
+  boolean majorityUsable(String region) {
+    Map<String, String> regionByName = new HashMap<>();
+    control.peers().forEach(peer -> regionByName.put(peer.name(), peer.region()));
+    linksByName.values().forEach(link -> regionByName.put(link.peer.name(), link.peer.region()));
+    originsByConnection
+        .values()
+        .forEach(
+            origin ->
+                regionByName.put(
+                    origin.name().substring(0, origin.name().lastIndexOf('#')), origin.region()));
+    regionByName.put(selfName(), control.self().region());
+    boolean regionHasGateways = regionByName.containsValue(region);
+    int known = 0;
+    int usable = 0;
+    for (Map.Entry<String, String> gateway : regionByName.entrySet()) {
+      if (!regionHasGateways || gateway.getValue().equals(region)) {
+        known++;
+        Link link = linksByName.get(gateway.getKey());
+        boolean self = gateway.getKey().equals(selfName());
+        usable += self ? (available() ? 1 : 0) : (link != null && link.usable() ? 1 : 0);
+      }
+    }
+    return usable * 2 > known;
+  }
+
   /** Returns whether a gateway is connected; true for this gateway itself. */
   boolean reachable(String name) {
     Link link = linksByName.get(name);
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -69,6 +69,9 @@
    */
   private static final Duration INPUT_READ_TIME = Duration.ofMillis(60);
 
+  /** Time for which a permit is valid; a connection is opened within 700 ms. */
+  private static final Duration PERMIT_LIFETIME = Duration.ofMillis(800);
+
   /** Least urgent rank that an engine accepts. */
   private static final int MAX_ENGINE_RANK = 9;
 
@@ -534,10 +537,12 @@
     if (requestEnded || currentAttempt == null) {
       return;
     }
+    long now = components.loop().now();
+    boolean permitRecent = now - attemptStartedAt <= PERMIT_LIFETIME.toNanos();
     boolean blocked =
         components
             .eligibility()
-            .clear(currentAttempt.upstream(), scope(), permitHeld, components.loop().now())
+            .clear(currentAttempt.upstream(), scope(), permitHeld && permitRecent, now)
             .isEmpty();
     if (blocked) {
       currentAttempt.cancel();
--- a/gateway/src/main/java/org/oriolewell/gateway/StageCoordinator.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageCoordinator.java
@@ -13,6 +13,8 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.ColdUpstreams;
+import org.oriolewell.core.eligibility.Eligibility;
 import org.oriolewell.core.eligibility.EligibilityCheck;
 import org.oriolewell.core.eligibility.EvacuatedZones;
 import org.oriolewell.core.roster.UpstreamInstance;
@@ -91,6 +93,8 @@
   private final Map<String, WireConnection> originConnections = new HashMap<>();
   private @Nullable PeerMesh mesh;
   private EligibilityCheck eligibility = EligibilityCheck.of(List.of());
+  private @Nullable ColdUpstreams coldUpstreams;
+  private @Nullable UpstreamLimits upstreamLimits;
   private EvacuatedZones evacuatedZones = EvacuatedZones.create();
   private long nextTicket = 1;
   private long ticks;
@@ -111,10 +115,17 @@
   }
 
   /** Sets the connections to the other gateways and starts the periodic checks. */
-  void start(PeerMesh peerMesh, EligibilityCheck eligibilityCheck, EvacuatedZones evacuated) {
+  void start(
+      PeerMesh peerMesh,
+      EligibilityCheck eligibilityCheck,
+      EvacuatedZones evacuated,
+      ColdUpstreams cold,
+      UpstreamLimits limits) {
     mesh = peerMesh;
     eligibility = eligibilityCheck;
     evacuatedZones = evacuated;
+    coldUpstreams = cold;
+    upstreamLimits = limits;
     loop.every(TICK_INTERVAL, this::tick);
   }
 
@@ -329,12 +340,24 @@
             stageService.get(),
             eligibility,
             new CallScope(Set.of(dispatcherKey.region()), 0),
+            upstream -> coldPermitsMissing(upstream, dispatcherKey.region()),
             this::reportOutcomes);
     dispatchers.put(dispatcherKey, newDispatcher);
     newDispatcher.upstreams(upstreams(dispatcherKey));
     return newDispatcher;
   }
 
+  /** Returns whether an upstream is cold and this gateway may not issue permits for it. */
+  private boolean coldPermitsMissing(UpstreamInstance upstream, String region) {
+    ColdUpstreams cold = coldUpstreams;
+    UpstreamLimits limits = upstreamLimits;
+    return cold != null
+        && limits != null
+        && cold.check(upstream, new CallScope(Set.of(), 0), loop.now())
+            instanceof Eligibility.PermitNeeded
+        && !limits.mayIssueColdPermits(region);
+  }
+
   private Optional<StageService> stageService(String service) {
     RouteTable table = control.table();
     return table == null
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -11,12 +11,15 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.Eligibility;
 import org.oriolewell.core.eligibility.EligibilityCheck;
 import org.oriolewell.core.eligibility.EligibleUpstream;
+import org.oriolewell.core.eligibility.Reason;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.StageService;
 import org.oriolewell.core.stage.PieceOutcome;
@@ -69,6 +72,7 @@
       StageService stageService,
       EligibilityCheck eligibility,
       CallScope scope,
+      Predicate<UpstreamInstance> permitsMissing,
       BiConsumer<StageWork, List<PieceOutcome>> outcomeListener) {
     this.loop = loop;
     this.client = client;
@@ -79,7 +83,11 @@
     this.eligibility = eligibility;
     this.scope = scope;
     this.outcomeListener = outcomeListener;
-    queue.callRule((upstream, now) -> eligibility.check(upstream, scope, now));
+    queue.callRule(
+        (upstream, now) ->
+            permitsMissing.test(upstream)
+                ? new Eligibility.Blocked(Reason.COLD, Duration.ZERO)
+                : eligibility.check(upstream, scope, now));
   }
 
   /** Replaces the upstreams that calls are sent to. */
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamLimits.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamLimits.java
@@ -6,9 +6,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.ColdUpstreams;
 import org.oriolewell.core.eligibility.Eligibility;
 import org.oriolewell.core.eligibility.EligibilityRule;
 import org.oriolewell.core.eligibility.Reason;
@@ -36,6 +38,12 @@
   /** Time for which no permit is asked for after the issuer could not be reached. */
   private static final Duration UNREACHABLE_DELAY = Duration.ofMillis(500);
 
+  /**
+   * Time for which the store has confirmed the list of gateways before this one issues permits for
+   * cold upstreams; gateways that start together register within it.
+   */
+  private static final Duration ISSUER_SETTLING_TIME = Duration.ofSeconds(4);
+
   /** Value of an observation of an upstream that names no limit. */
   private static final double NO_LIMIT = -1;
 
@@ -51,6 +59,8 @@
   private final Regions regions;
   private final ObservationExchange exchange;
   private final EventLog log;
+  private final ColdUpstreams coldUpstreams;
+  private final GatewayMetrics metrics;
   private final NamedLimits limits = NamedLimits.create();
   private final PermitIssuer issuer = PermitIssuer.create();
   private final Map<String, Double> toldLimits = new HashMap<>();
@@ -64,12 +74,16 @@
       PeerMesh mesh,
       Regions regions,
       ObservationExchange exchange,
+      ColdUpstreams coldUpstreams,
+      GatewayMetrics metrics,
       EventLog log) {
     this.loop = loop;
     this.control = control;
     this.mesh = mesh;
     this.regions = regions;
     this.exchange = exchange;
+    this.coldUpstreams = coldUpstreams;
+    this.metrics = metrics;
     this.log = log;
     mesh.permitListener(this);
     exchange.receive(Kind.UPSTREAM_LIMITED, this::onLimitReported);
@@ -126,29 +140,32 @@
     return loop.now() - Duration.ofMillis(ageMillis).toNanos();
   }
 
-  /** Returns whether an upstream has named a limit that may still hold. */
+  /** Returns whether an upstream has named a limit that may still hold, or is cold. */
   @Override
   public boolean active(CallScope scope) {
-    return !limits.isEmpty();
+    return !limits.isEmpty() || coldUpstreams.active(scope);
   }
 
-  /** Requires a permit for a limited upstream, and blocks it while none is granted. */
+  /** Requires a permit for a limited or cold upstream, and blocks it while none is granted. */
   @Override
   public Eligibility check(UpstreamInstance upstream, CallScope scope, long now) {
-    if (limits.isEmpty()) {
+    Eligibility cold = coldUpstreams.check(upstream, scope, now);
+    boolean needsColdPermit = cold instanceof Eligibility.PermitNeeded;
+    if (limits.isEmpty() && !needsColdPermit) {
       return Eligibility.ALLOWED;
     }
     String key = UpstreamClient.poolKey(upstream);
     OptionalDouble limit = limits.limit(key);
-    if (limit.isEmpty()) {
+    if (limit.isEmpty() && !needsColdPermit) {
       return Eligibility.ALLOWED;
     }
     Denial denial = denials.get(key);
     long deniedNanos =
         denial == null || scope.rank() < denial.rank() ? 0 : Math.max(0, denial.until() - now);
     return deniedNanos > 0
-        ? new Eligibility.Blocked(Reason.LIMITED, Duration.ofNanos(deniedNanos))
-        : new Eligibility.PermitNeeded(limit.getAsDouble());
+        ? new Eligibility.Blocked(
+            needsColdPermit ? Reason.COLD : Reason.LIMITED, Duration.ofNanos(deniedNanos))
+        : limit.isEmpty() ? cold : new Eligibility.PermitNeeded(limit.getAsDouble()).stricter(cold);
   }
 
   /**
@@ -166,6 +183,12 @@
           }
           onAnswer.accept(permit.granted());
         };
+    Eligibility cold = coldUpstreams.check(upstream, new CallScope(Set.of(), rank), loop.now());
+    if (cold instanceof Eligibility.PermitNeeded needed) {
+      double rate = Math.min(needed.perSecond(), limits.limit(key).orElse(Double.MAX_VALUE));
+      requestColdPermit(upstream, rank, rate, receiver);
+      return;
+    }
     String issuerName = issuerName(upstream);
     double limit = limits.limit(key).orElse(Double.MAX_VALUE);
     if (control.self().name().equals(issuerName)) {
@@ -185,6 +208,68 @@
     loop.after(PERMIT_TIMEOUT, () -> endPermit(id, new Permit(false, UNREACHABLE_DELAY)));
   }
 
+  private void requestColdPermit(
+      UpstreamInstance upstream, int rank, double perSecond, Consumer<Permit> onAnswer) {
+    String key = UpstreamClient.poolKey(upstream);
+    String issuerName = issuerName(upstream);
+    long askedAt = loop.now();
+    Consumer<Permit> receiver =
+        permit -> {
+          // A gateway that resumes from a freeze reads permits that were granted long before.
+          boolean timely = loop.now() - askedAt <= PERMIT_TIMEOUT.toNanos();
+          Permit answer =
+              timely || !permit.granted() ? permit : new Permit(false, Duration.ofMillis(1));
+          metrics.coldPermit(answer.granted());
+          onAnswer.accept(answer);
+        };
+    if (control.self().name().equals(issuerName)) {
+      receiver.accept(issueColdPermit(key, perSecond, rank));
+      return;
+    }
+    long id = nextPermitId++;
+    boolean sent =
+        issuerName != null
+            && mesh.send(issuerName, new Message.ColdPermitRequest(id, key, rank, perSecond));
+    if (!sent) {
+      receiver.accept(new Permit(false, UNREACHABLE_DELAY));
+      return;
+    }
+    pendingPermits.put(id, receiver);
+    loop.after(PERMIT_TIMEOUT, () -> endPermit(id, new Permit(false, UNREACHABLE_DELAY)));
+  }
+
+  /**
+   * Issues a permit for a cold upstream, unless another gateway may issue them as well: this one
+   * must know its peers, be the issuer by its own view, and reach most of its region.
+   */
+  private Permit issueColdPermit(String key, double perSecond, int rank) {
+    Optional<UpstreamInstance> upstream = find(key);
+    if (upstream.isEmpty()
+        || !control.self().name().equals(issuerName(upstream.get()))
+        || !mayIssueColdPermits(regions.regionOf(upstream.get().zone()))) {
+      return new Permit(false, UNREACHABLE_DELAY);
+    }
+    double rate =
+        coldUpstreams.check(upstream.get(), new CallScope(Set.of(), rank), loop.now())
+                instanceof Eligibility.PermitNeeded needed
+            ? Math.min(perSecond, needed.perSecond())
+            : perSecond;
+    return issuer.issue(key, rate, rank, loop.now());
+  }
+
+  /** Returns whether this gateway may issue permits for cold upstreams of a region. */
+  boolean mayIssueColdPermits(String region) {
+    return control.peersSettled(ISSUER_SETTLING_TIME) && mesh.majorityUsable(region);
+  }
+
+  @Override
+  public void onColdPermitRequest(WireConnection connection, Message.ColdPermitRequest request) {
+    Permit permit = issueColdPermit(request.upstream(), request.perSecond(), request.rank());
+    connection.send(
+        new Message.PermitReply(
+            request.id(), permit.granted(), permit.retryAfter().plusMillis(1).toMillis()));
+  }
+
   private void endPermit(long id, Permit permit) {
     Consumer<Permit> receiver = pendingPermits.remove(id);
     if (receiver != null) {
@@ -214,12 +299,13 @@
   }
 
   private void forgetUnlisted() {
+    coldUpstreams.retain(id -> control.roster().find(id).isPresent());
+    issuer.retain(key -> find(key).isPresent());
+    denials.keySet().removeIf(key -> find(key).isEmpty());
     if (limits.isEmpty()) {
       return;
     }
     limits.retain(key -> find(key).isPresent());
-    issuer.retain(key -> find(key).isPresent());
-    denials.keySet().removeIf(key -> find(key).isEmpty());
     toldLimits.keySet().removeIf(key -> find(key).isEmpty());
   }
 
--- a/runtime/src/main/java/org/oriolewell/runtime/wire/Message.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/wire/Message.java
@@ -428,9 +428,20 @@
       implements Message {}
 
   /**
-   * Answer to {@link PermitRequest}.
+   * Asks for a permit to send one request to an upstream that is cold.
    *
-   * @param id number of the {@link PermitRequest}
+   * @param id number that identifies this message on the connection
+   * @param upstream identifier of one start of the upstream
+   * @param rank urgency of the request; the lowest rank is the most urgent
+   * @param perSecond rate of permits that the sender assumes, in requests a second
+   */
+  record ColdPermitRequest(long id, String upstream, int rank, double perSecond)
+      implements Message {}
+
+  /**
+   * Answer to {@link PermitRequest} and {@link ColdPermitRequest}.
+   *
+   * @param id number of the request for a permit
    * @param granted whether the request may be sent at once
    * @param retryAfterMillis time after which a permit may be granted, in milliseconds
    */
--- a/runtime/src/main/java/org/oriolewell/runtime/wire/MessageCodec.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/wire/MessageCodec.java
@@ -47,6 +47,7 @@
   private static final int OBSERVATION = 26;
   private static final int PERMIT_REQUEST = 27;
   private static final int PERMIT_REPLY = 28;
+  private static final int COLD_PERMIT_REQUEST = 29;
 
   private MessageCodec() {}
 
@@ -187,6 +188,9 @@
     } else if (message instanceof Message.PermitRequest m) {
       writeHeader(out, 6, PERMIT_REQUEST).packLong(m.id()).packString(m.upstream());
       out.packInt(m.rank()).packDouble(m.limitPerSecond()).packLong(m.limitAgeMillis());
+    } else if (message instanceof Message.ColdPermitRequest m) {
+      writeHeader(out, 5, COLD_PERMIT_REQUEST).packLong(m.id()).packString(m.upstream());
+      out.packInt(m.rank()).packDouble(m.perSecond());
     } else if (message instanceof Message.PermitReply m) {
       writeHeader(out, 4, PERMIT_REPLY).packLong(m.id()).packBoolean(m.granted());
       out.packLong(m.retryAfterMillis());
@@ -354,6 +358,9 @@
               in.unpackInt(),
               in.unpackDouble(),
               in.unpackLong());
+      case COLD_PERMIT_REQUEST ->
+          new Message.ColdPermitRequest(
+              in.unpackLong(), in.unpackString(), in.unpackInt(), in.unpackDouble());
       case PERMIT_REPLY ->
           new Message.PermitReply(in.unpackLong(), in.unpackBoolean(), in.unpackLong());
       default -> throw new WireException("message type " + typeNumber + " is unknown");
--- a/runtime/src/test/java/org/oriolewell/runtime/wire/WireTest.java
+++ b/runtime/src/test/java/org/oriolewell/runtime/wire/WireTest.java
@@ -78,6 +78,7 @@
             new Message.StageAnnounce(19, "s", "g", 2, 60_000, 6),
             new Message.Observation(1, "e1", "g1", 250, 0.5, List.of("r1 a b", "r2 c")),
             new Message.PermitRequest(20, "e1/1700000000000", 2, 0.3, 40),
+            new Message.ColdPermitRequest(21, "e1/1700000000000", 2, 9.35),
             new Message.PermitReply(20, false, 900));
 
     WireConnection connection = client.connect(server.address(), new RecordingListener()).get();
