--- a/core/src/main/java/org/oriolewell/core/upstream/UpstreamRecords.java
+++ b/core/src/main/java/org/oriolewell/core/upstream/UpstreamRecords.java
@@ -118,6 +118,14 @@
     return record != null && record.sent();
   }
 
+  /** Takes back the count of a request that was not written. */
+  public void unsent(UpstreamInstance upstream) {
+    UpstreamRecord record = restrictingRecord(upstream);
+    if (record != null) {
+      record.unsent();
+    }
+  }
+
   /** Returns the newest load report of an upstream; empty if there is none. */
   public Optional<StatedLoad> load(UpstreamInstance upstream) {
     UpstreamRecord record = records.get(Incarnation.of(upstream));
--- a/core/src/test/java/org/oriolewell/core/upstream/UpstreamRecordsTest.java
+++ b/core/src/test/java/org/oriolewell/core/upstream/UpstreamRecordsTest.java
@@ -79,6 +79,9 @@
     assertThat(records.blockedFor(upstream, seconds(2))).isZero();
     assertThat(records.sent(upstream)).as("first request after the pause").isTrue();
     assertThat(records.blockedFor(upstream, seconds(2))).isEqualTo(Duration.ofMillis(250));
+    records.unsent(upstream);
+    assertThat(records.blockedFor(upstream, seconds(2))).as("turn given back").isZero();
+    records.sent(upstream);
     assertThat(records.blockedFor(upstream("a", 8), seconds(1))).isZero();
     assertThat(stated(upstream, pause(1), seconds(2.5)).paused()).isTrue();
     assertThat(records.blockedFor(upstream, seconds(3))).isEqualTo(Duration.ofMillis(500));
@@ -110,7 +113,7 @@
   }
 
   @Test
-  void oddValuesAreReportedOnceAMinute() {
+  void oddValuesAreReportedOncePerMinute() {
     UpstreamInstance upstream = upstream("a", 7);
     assertThat(stated(upstream, pause(1, "odd"), 0).reportProblems()).isTrue();
     assertThat(stated(upstream, pause(1, "odd"), seconds(59)).reportProblems()).isFalse();
--- a/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
@@ -16,7 +16,9 @@
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.roster.UpstreamRoster;
 import org.oriolewell.core.roster.ViewFreshness;
+import org.oriolewell.core.route.ColdStart;
 import org.oriolewell.core.route.RouteTable;
+import org.oriolewell.core.route.ServiceSpec;
 import org.oriolewell.core.routing.Hashing;
 import org.oriolewell.gateway.ControlFeed.Batch;
 import org.oriolewell.gateway.ControlFeed.Peer;
@@ -53,6 +55,10 @@
   private final Map<String, Peer> peersByName = new HashMap<>();
   private final List<Runnable> changeListeners = new ArrayList<>();
   private QuarantineListener quarantineListener = new QuarantineListener() {};
+  private UpstreamListener upstreamListener = (entry, duringTraffic) -> {};
+  private long viewKnownSince;
+  private boolean viewKnown;
+  private EvacuationListener evacuationListener = new EvacuationListener() {};
   private @Nullable RouteTable table;
   private final Duration settleTime;
   private final StoreHistory history;
@@ -97,6 +103,40 @@
     default void onSnapshot(Map<String, Duration> trialDelaysBySubject, boolean restored) {}
   }
 
+  /** Receives the entries of upstreams. */
+  @FunctionalInterface
+  interface UpstreamListener {
+    /**
+     * Called when an entry was read.
+     *
+     * @param duringTraffic whether the upstreams that are listed had been read before
+     */
+    void onListed(UpstreamEntry entry, boolean duringTraffic);
+  }
+
+  /** Receives the operators' orders to evacuate availability zones. */
+  interface EvacuationListener {
+    /** Called when an order is in the store. */
+    default void onOrdered(String zone) {}
+
+    /** Called when all components have been told of the orders. */
+    default void onApplied() {}
+
+    /** Called when an order was removed from the store. */
+    default void onRemoved(String zone) {}
+
+    /**
+     * Called when everything was read again.
+     *
+     * @param listed zones whose orders are in the store
+     * @param settled whether the store's history is settled
+     */
+    default void onReread(Set<String> listed, boolean settled) {}
+
+    /** Called when the store's history is settled. */
+    default void onSettled() {}
+  }
+
   private ControlPlane(
       EventLoop loop,
       ControlFeed feed,
@@ -158,11 +198,41 @@
     quarantineListener = listener;
   }
 
+  /** Sets the receiver of the upstreams' entries. */
+  void upstreamListener(UpstreamListener listener) {
+    upstreamListener = listener;
+  }
+
+  /**
+   * Returns whether the store has confirmed the list of gateways for a time after it was first
+   * read, in which gateways that started at the same time have registered.
+   */
+  boolean peersSettled(Duration settlingTime) {
+    long ageMillis = ageMillis();
+    return viewKnown
+        && ageMillis >= 0
+        && loop.now() - Duration.ofMillis(ageMillis).toNanos() - viewKnownSince
+            >= settlingTime.toNanos();
+  }
+
+  /** Sets the receiver of the orders to evacuate zones. */
+  void evacuationListener(EvacuationListener listener) {
+    evacuationListener = listener;
+  }
+
   /** Returns the configuration in force, or null if none is known yet. */
   @Nullable RouteTable table() {
     return table;
   }
 
+  /** Returns the cold start of a service; null while no configuration is known. */
+  @Nullable ColdStart coldStart(String service) {
+    RouteTable currentTable = table;
+    return currentTable == null
+        ? null
+        : currentTable.service(service).map(ServiceSpec::coldStart).orElse(ColdStart.NEVER);
+  }
+
   /** Returns the known upstreams of all services. */
   UpstreamRoster roster() {
     return roster;
@@ -282,6 +352,7 @@
       return;
     }
     settledEra = era;
+    guard.run("settled evacuations", evacuationListener::onSettled);
     Update.Configured config = heldConfig;
     heldConfig = null;
     if (config != null && table == null) {
@@ -370,6 +441,7 @@
     restoredUnread = false;
     List<UpstreamEntry> upstreams = new ArrayList<>();
     Set<String> listedNames = new HashSet<>();
+    Set<String> evacuatedZones = new HashSet<>();
     Map<String, Duration> trialDelaysBySubject = new HashMap<>();
     long ownLeaseId = 0;
     for (Update update : batch.updates()) {
@@ -380,6 +452,9 @@
       } else if (update instanceof Update.Configured configured && restored) {
         guard.run(stepName(update), () -> applyRestoredConfig(configured));
       } else {
+        if (update instanceof Update.ZoneEvacuated evacuated) {
+          evacuatedZones.add(evacuated.zone());
+        }
         if (update instanceof Update.PeerListed listed) {
           listedNames.add(listed.peer().name());
           ownLeaseId = listed.peer().name().equals(self.name()) ? listed.leaseId() : ownLeaseId;
@@ -388,6 +463,14 @@
       }
     }
     guard.run("roster", () -> roster.replaceAll(upstreams, loop.now()));
+    final boolean duringTraffic = viewKnown;
+    guard.run(
+        "cold upstreams",
+        () -> upstreams.forEach(entry -> upstreamListener.onListed(entry, duringTraffic)));
+    if (!viewKnown) {
+      viewKnown = true;
+      viewKnownSince = loop.now();
+    }
     if (restored) {
       final long readLeaseId = ownLeaseId;
       keepPeersForLease(listedNames);
@@ -396,6 +479,9 @@
     peersByName
         .keySet()
         .removeIf(name -> !listedNames.contains(name) && !unconfirmedPeers.contains(name));
+    guard.run(
+        "evacuations",
+        () -> evacuationListener.onReread(evacuatedZones, history.isSettled(loop.now())));
     guard.run("quarantine", () -> quarantineListener.onSnapshot(trialDelaysBySubject, restored));
   }
 
@@ -455,6 +541,15 @@
       if (history.isSettled(loop.now())) {
         onSettled();
       }
+    } else if (update instanceof Update.ZoneEvacuated evacuated) {
+      evacuationListener.onOrdered(evacuated.zone());
+    } else if (update instanceof Update.ZoneRestored restored) {
+      evacuationListener.onRemoved(restored.zone());
+    } else if (update instanceof Update.InvalidValue invalid) {
+      log.event(GatewayEvent.RULE_VALUE_INVALID)
+          .with("key", invalid.key())
+          .with("problem", invalid.problem())
+          .write();
     } else if (update instanceof Update.Unreadable unreadable) {
       log.event(GatewayEvent.ENTRY_UNREADABLE)
           .with("key", unreadable.key())
@@ -466,7 +561,11 @@
   private void applyUpstream(UpstreamEntry entry) {
     UpstreamInstance upstream = entry.instance();
     boolean alreadyListed = roster.find(upstream.id()).filter(upstream::equals).isPresent();
-    if (roster.entryWritten(entry, loop.now()) && !alreadyListed) {
+    boolean accepted = roster.entryWritten(entry, loop.now());
+    if (accepted) {
+      upstreamListener.onListed(entry, true);
+    }
+    if (accepted && !alreadyListed) {
       log.event(GatewayEvent.UPSTREAM_LISTED)
           .with("upstream", upstream.id())
           .with("service", upstream.service())
@@ -504,6 +603,7 @@
 
   private void notifyListeners() {
     changeListeners.forEach(listener -> guard.run("change listener", listener));
+    evacuationListener.onApplied();
   }
 
   @Override
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -105,10 +105,29 @@
   REQUEST_WITHDRAWN(
       8084,
       Level.INFO,
-      "A request was not written to its upstream, which has stated to leave or pause meanwhile;"
-          + " another upstream is chosen."),
+      "A request or call was not written, since a rule blocks its upstream by now; another upstream"
+          + " is chosen."),
   REQUEST_STEP_FAILED(
-      8060, Level.SEVERE, "The processing of a request failed with an exception; it was ended.");
+      8060, Level.SEVERE, "The processing of a request failed with an exception; it was ended."),
+  RULE_VALUE_INVALID(
+      8070,
+      Level.WARNING,
+      "A value that restricts the use of upstreams is invalid; its strictest reading is in force."),
+  EVACUATION_ORDERED(
+      8071,
+      Level.WARNING,
+      "The operators have ordered that nothing more is sent to the upstreams of a zone."),
+  EVACUATION_IN_FORCE(
+      8072, Level.INFO, "This gateway sends nothing more to the upstreams of an evacuated zone."),
+  EVACUATION_REMOVED(8073, Level.INFO, "The upstreams of a zone may be used again."),
+  EVACUATION_KEPT(
+      8074,
+      Level.WARNING,
+      "A restored store lacks a known evacuation; it stays in force until the history is"
+          + " settled."),
+  UPSTREAM_COLD(
+      8075, Level.INFO, "An upstream is cold: requests to it need permits until it is warm."),
+  UPSTREAM_WARM(8076, Level.INFO, "Requests to an upstream that was cold need no more permits.");
 
   private final Description description;
 
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
@@ -4,6 +4,8 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Set;
+import org.oriolewell.core.eligibility.Reason;
 
 /** Prometheus metrics of the gateway. */
 final class GatewayMetrics {
@@ -24,6 +26,10 @@
   private final Gauge restrictedUpstreams;
   private final Counter statements;
   private final Counter withdrawals;
+  private final Gauge evacuatedZones;
+  private final Counter placedElsewhere;
+  private final Counter coldPermits;
+  private final Gauge coldUpstreams;
 
   private GatewayMetrics(PrometheusRegistry registry) {
     requests =
@@ -95,6 +101,28 @@
             .help("Requests and calls that were placed again before they were written.")
             .labelNames("reason")
             .register(registry);
+    evacuatedZones =
+        Gauge.builder()
+            .name("oriolewell_gateway_evacuated_zones")
+            .help("Availability zones whose upstreams get no more calls.")
+            .register(registry);
+    coldPermits =
+        Counter.builder()
+            .name("oriolewell_gateway_cold_permits_total")
+            .help("Permits that requests to cold upstreams asked for, by result.")
+            .labelNames("result")
+            .register(registry);
+    coldUpstreams =
+        Gauge.builder()
+            .name("oriolewell_gateway_cold_upstreams")
+            .help("Upstreams that are cold.")
+            .register(registry);
+    placedElsewhere =
+        Counter.builder()
+            .name("oriolewell_gateway_placed_elsewhere_total")
+            .help("Choices of an upstream that a rule kept from some upstreams, by reason.")
+            .labelNames("reason")
+            .register(registry);
   }
 
   /** Creates the metrics and registers them. */
@@ -158,6 +186,26 @@
     withdrawals.labelValues(reason).inc();
   }
 
+  /** Sets the number of evacuated zones. */
+  void setEvacuatedZones(int zoneCount) {
+    evacuatedZones.set(zoneCount);
+  }
+
+  /** Counts the answer to a request for a permit for a cold upstream. */
+  void coldPermit(boolean granted) {
+    coldPermits.labelValues(granted ? "granted" : "refused").inc();
+  }
+
+  /** Sets the number of cold upstreams. */
+  void setColdUpstreams(int upstreamCount) {
+    coldUpstreams.set(upstreamCount);
+  }
+
+  /** Counts the choice of an upstream that rules kept from some upstreams of the service. */
+  void placedElsewhere(Set<Reason> reasons) {
+    reasons.forEach(reason -> placedElsewhere.labelValues(reason.label()).inc());
+  }
+
   /** Sets the age of the copy of the configuration; -1 if it was never confirmed. */
   void setViewAge(double seconds) {
     viewAge.set(seconds);
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
@@ -95,8 +95,7 @@
   private Estimate estimate(StageProgress progress, String region) {
     boolean ownRegion = region.equals(components.control().self().region());
     boolean canServe =
-        reachable(serviceName, region).stream()
-                .anyMatch(components.upstreamStatements()::mayStillSend)
+        reachable(serviceName, region).stream().anyMatch(components.upstreamStatements()::mayBeUsed)
             && stagesReachable(progress, region);
     return canServe
         ? new Estimate(
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -5,11 +5,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.eclipse.jetty.http.HttpFields;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.eligibility.CallScope;
 import org.oriolewell.core.eligibility.Eligibility;
 import org.oriolewell.core.eligibility.EligibleUpstream;
+import org.oriolewell.core.eligibility.Reason;
 import org.oriolewell.core.overload.StageAdmission.Decision;
 import org.oriolewell.core.quarantine.CrashQuarantine;
 import org.oriolewell.core.quarantine.CrashSubject;
@@ -67,6 +69,9 @@
    */
   private static final Duration INPUT_READ_TIME = Duration.ofMillis(60);
 
+  /** Time for which a permit is valid; a connection is opened within 700 ms. */
+  private static final Duration PERMIT_LIFETIME = Duration.ofMillis(800);
+
   /** Least urgent rank that an engine accepts. */
   private static final int MAX_ENGINE_RANK = 9;
 
@@ -108,6 +113,9 @@
   /** Whether the current attempt was queued for writing to its upstream. */
   private boolean sent;
 
+  /** Whether the current attempt holds a permit for its upstream. */
+  private boolean permitHeld;
+
   /** Whether the retry budget has granted the next attempt already. */
   private boolean retryGranted;
 
@@ -313,11 +321,25 @@
               public void onFailed(String reason) {
                 refuse(reason, "stage failed", FULL_RETRY_AFTER);
               }
+
+              @Override
+              public void onResultsLost() {
+                repeatStages();
+              }
             });
     stageRun = currentRun;
     currentRun.start();
   }
 
+  /** Places the request again and runs its stages again, since their results are lost. */
+  private void repeatStages() {
+    cancelStages();
+    inputHandles = List.of();
+    if (!requestEnded) {
+      decideAdmission();
+    }
+  }
+
   private void logRouted(String reason, long expectedMillis) {
     RequestAdmission.Parts parts = forecastParts;
     components
@@ -359,6 +381,11 @@
     if (trialSubject == null && heldBack()) {
       return;
     }
+    StageRun currentRun = stageRun;
+    if (currentRun != null && !mayHaveExecuted && currentRun.resultsLost(inputHandles)) {
+      repeatStages();
+      return;
+    }
     long now = components.loop().now();
     Optional<UpstreamInstance> chosenUpstream = upstreamChoice.next(region, rank);
     if (chosenUpstream.isEmpty()) {
@@ -418,8 +445,14 @@
           "upstream limit",
           retryAfter);
     } else {
-      String where = allowedRegions.restricted() ? " in the allowed regions" : "";
-      refuse("no upstream of " + serviceName + where, "no upstream", NO_UPSTREAM_RETRY_AFTER);
+      String rules =
+          upstreamChoice.screen(rank).reasons().stream()
+              .map(Reason::label)
+              .collect(Collectors.joining(", "));
+      refuse(
+          "no upstream of " + serviceName + (rules.isEmpty() ? "" : " that is not " + rules),
+          "no upstream",
+          NO_UPSTREAM_RETRY_AFTER);
     }
   }
 
@@ -447,6 +480,7 @@
     }
     attemptCount++;
     sent = false;
+    this.permitHeld = permitHeld;
     upstreamChoice.tried(upstream);
     components.upstreamStatements().sent(upstream);
     if (attemptCount == 1) {
@@ -503,7 +537,31 @@
   @Override
   public void onConnected() {
     // Cancels the attempt before the request is written if the caller has disconnected meanwhile.
-    exchange.detectCallerGone();
+    if (!exchange.detectCallerGone()) {
+      placeAgainIfBlocked();
+    }
+  }
+
+  /** Chooses another upstream if a rule has blocked the current one before the request was sent. */
+  private void placeAgainIfBlocked() {
+    UpstreamAttempt currentAttempt = attempt;
+    if (requestEnded || currentAttempt == null) {
+      return;
+    }
+    long now = components.loop().now();
+    boolean permitRecent = now - attemptStartedAt <= PERMIT_LIFETIME.toNanos();
+    UpstreamInstance upstream = currentAttempt.upstream();
+    boolean eligible =
+        components
+            .upstreamStatements()
+            .stillEligible(components.eligibility(), upstream, scope(), permitHeld && permitRecent);
+    if (!eligible) {
+      components.upstreamStatements().withdrawn(upstream, requestId());
+      currentAttempt.cancel();
+      attempt = null;
+      attemptCount--;
+      callUpstream(lastForwardedEventId());
+    }
   }
 
   @Override
@@ -555,12 +613,6 @@
         status < 400 ? "answered" : "upstream_error", () -> exchange.reply(status, headers, body));
   }
 
-  @Override
-  public void onWithdrawn(UpstreamInstance upstream) {
-    attemptCount--;
-    callUpstream(lastForwardedEventId());
-  }
-
   @Override
   public void onConnectFailed(UpstreamInstance upstream, String reason) {
     attemptCount--;
