--- a/core/src/main/java/org/oriolewell/core/upstream/UpstreamRecord.java
+++ b/core/src/main/java/org/oriolewell/core/upstream/UpstreamRecord.java
@@ -75,6 +75,14 @@
     return known != null && known.sentAfterEnd++ == 0;
   }
 
+  /** Takes back the count of a request that was not written. */
+  void unsent() {
+    Pause known = pause;
+    if (known != null) {
+      known.sentAfterEnd = Math.max(0, known.sentAfterEnd - 1);
+    }
+  }
+
   /** Returns whether a pause is in force, or this gateway sends fewer requests after it. */
   boolean restrictsSending(long now) {
     Pause known = pause;
--- a/core/src/main/java/org/oriolewell/core/upstream/UpstreamRecords.java
+++ b/core/src/main/java/org/oriolewell/core/upstream/UpstreamRecords.java
@@ -118,6 +118,14 @@
     return record != null && record.sent();
   }
 
+  /** Takes back the count of a request that was not written. */
+  public void unsent(UpstreamInstance upstream) {
+    UpstreamRecord record = restrictingRecord(upstream);
+    if (record != null) {
+      record.unsent();
+    }
+  }
+
   /** Returns the newest load report of an upstream; empty if there is none. */
   public Optional<StatedLoad> load(UpstreamInstance upstream) {
     UpstreamRecord record = records.get(Incarnation.of(upstream));
@@ -166,9 +174,16 @@
     }
   }
 
-  /** Returns the number of incarnations that have stated to leave and are remembered. */
-  public int leavingCount() {
-    return (int) records.values().stream().filter(UpstreamRecord::leaving).count();
+  /**
+   * Returns the number of incarnations that have an entry and have stated to leave.
+   *
+   * @param listed whether an incarnation has an entry
+   */
+  public int leavingCount(Predicate<Incarnation> listed) {
+    return (int)
+        records.entrySet().stream()
+            .filter(entry -> entry.getValue().leaving() && listed.test(entry.getKey()))
+            .count();
   }
 
   /** Returns the number of incarnations whose pause has not ended. */
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpFields;
 import org.oriolewell.core.capacity.LearnedSpeeds;
+import org.oriolewell.core.eligibility.ColdUpstreams;
 import org.oriolewell.core.eligibility.EligibilityCheck;
 import org.oriolewell.core.eligibility.EligibilityRule;
 import org.oriolewell.core.eligibility.RegionRule;
@@ -75,6 +76,9 @@
   private final UpstreamStatements statements;
   private final EligibilityCheck eligibility;
   private final Evacuations evacuations;
+  private final ColdUpstreams coldUpstreams;
+  private final UpstreamLimits upstreamLimits;
+  private final RuleLog ruleLog;
   private final StageCoordinator stageCoordinator;
   private final PeerMesh mesh;
   private final RequestIntake intake;
@@ -134,15 +138,16 @@
             loop, control, stageCoordinator, settings.value(GatewaySettings.PEER_ADDRESS), log);
     ObservationExchange exchange = new ObservationExchange(loop, mesh, self.name());
     mesh.observationListener(exchange);
-    CrashGuard crashGuard = new CrashGuard(loop, control, feed, client, exchange, log);
+    final CrashGuard crashGuard = new CrashGuard(loop, control, feed, client, exchange, log);
     stopGate = new StopGate(loop);
-    UpstreamLimits upstreamLimits = new UpstreamLimits(loop, control, mesh, regions, exchange, log);
+    coldUpstreams = ColdUpstreams.create(self.name(), control::coldStart);
+    ruleLog = new RuleLog(loop, control, regions, coldUpstreams, log);
+    upstreamLimits =
+        new UpstreamLimits(loop, control, mesh, regions, exchange, coldUpstreams, metrics, log);
     evacuations = new Evacuations(regions, log);
     control.evacuationListener(evacuations);
     List<EligibilityRule> rules = new ArrayList<>(statements.rules());
-    rules.add(RegionRule.of(regions::regionOf));
-    rules.add(evacuations.zones());
-    rules.add(upstreamLimits);
+    rules.addAll(List.of(RegionRule.of(regions::regionOf), evacuations.zones(), upstreamLimits));
     eligibility = EligibilityCheck.of(rules);
     GatewayComponents components =
         new GatewayComponents(
@@ -184,8 +189,9 @@
               metrics.setBufferedBytes(answerMemory.bytes());
               metrics.setViewAge(control.ageMillis() / 1000.0);
               metrics.setQuarantined(crashGuard.quarantinedCount());
-              metrics.setEvacuatedZones(evacuations.zones().size());
               statements.updateMetrics();
+              metrics.setColdUpstreams(coldUpstreams.coldCount(loop.now()));
+              metrics.setEvacuatedZones(evacuations.zones().size());
               metrics.setCallerBytes(callerPressure.memory().bytesByKind());
               metrics.setCallerConnections(callerGate.connections().size());
             });
@@ -256,13 +262,14 @@
   private void startOnLoop() {
     control.onChange(mesh::updatePeers);
     control.onChange(stageCoordinator::refreshUpstreams);
-    stageCoordinator.start(mesh, eligibility, evacuations.zones());
+    stageCoordinator.start(mesh, eligibility, evacuations.zones(), coldUpstreams, upstreamLimits);
     control.start();
     loop.every(IDLE_SWEEP_INTERVAL, client::closeStale);
     statements.start();
     loop.every(
         CallerGate.CHECK_INTERVAL,
         () -> callerGate.check(() -> loop.resumeAccepting(callerListener)));
+    loop.every(IDLE_SWEEP_INTERVAL, ruleLog::tick);
   }
 
   private boolean ready() {
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayEvent.java
@@ -105,8 +105,8 @@
   REQUEST_WITHDRAWN(
       8084,
       Level.INFO,
-      "A request was not written to its upstream, which has stated to leave or pause meanwhile;"
-          + " another upstream is chosen."),
+      "A request or call was not written, since a rule blocks its upstream by now; another upstream"
+          + " is chosen."),
   REQUEST_STEP_FAILED(
       8060, Level.SEVERE, "The processing of a request failed with an exception; it was ended."),
   RULE_VALUE_INVALID(
@@ -125,6 +125,9 @@
       Level.WARNING,
       "A restored store lacks a known evacuation; it stays in force until the history is"
           + " settled."),
+  UPSTREAM_COLD(
+      8075, Level.INFO, "An upstream is cold: requests to it need permits until it is warm."),
+  UPSTREAM_WARM(8076, Level.INFO, "Requests to an upstream that was cold need no more permits."),
   CALLERS_PAUSED(
       8090,
       Level.WARNING,
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
@@ -28,11 +28,13 @@
   private final Gauge bufferedBytes;
   private final Gauge viewAge;
   private final Gauge quarantinedParts;
-  private final Gauge evacuatedZones;
-  private final Counter placedElsewhere;
   private final Gauge restrictedUpstreams;
   private final Counter statements;
   private final Counter withdrawals;
+  private final Gauge evacuatedZones;
+  private final Counter placedElsewhere;
+  private final Counter coldPermits;
+  private final Gauge coldUpstreams;
   private final Gauge callerBytes;
   private final Gauge callerConnections;
   private final Counter callerLosses;
@@ -94,17 +96,6 @@
             .name("oriolewell_gateway_quarantined_prompt_parts")
             .help("Prompt parts whose requests are refused since they crash engines.")
             .register(registry);
-    evacuatedZones =
-        Gauge.builder()
-            .name("oriolewell_gateway_evacuated_zones")
-            .help("Availability zones whose upstreams get no more calls.")
-            .register(registry);
-    placedElsewhere =
-        Counter.builder()
-            .name("oriolewell_gateway_placed_elsewhere_total")
-            .help("Choices of an upstream that a rule kept from some upstreams, by reason.")
-            .labelNames("reason")
-            .register(registry);
     restrictedUpstreams =
         Gauge.builder()
             .name("oriolewell_gateway_restricted_upstreams")
@@ -123,6 +114,28 @@
             .help("Requests and calls that were placed again before they were written.")
             .labelNames("reason")
             .register(registry);
+    evacuatedZones =
+        Gauge.builder()
+            .name("oriolewell_gateway_evacuated_zones")
+            .help("Availability zones whose upstreams get no more calls.")
+            .register(registry);
+    coldPermits =
+        Counter.builder()
+            .name("oriolewell_gateway_cold_permits_total")
+            .help("Permits that requests to cold upstreams asked for, by result.")
+            .labelNames("result")
+            .register(registry);
+    coldUpstreams =
+        Gauge.builder()
+            .name("oriolewell_gateway_cold_upstreams")
+            .help("Upstreams that are cold.")
+            .register(registry);
+    placedElsewhere =
+        Counter.builder()
+            .name("oriolewell_gateway_placed_elsewhere_total")
+            .help("Choices of an upstream that a rule kept from some upstreams, by reason.")
+            .labelNames("reason")
+            .register(registry);
     callerBytes =
         Gauge.builder()
             .name("oriolewell_gateway_caller_bytes")
@@ -203,16 +216,6 @@
     quarantinedParts.set(partCount);
   }
 
-  /** Sets the number of evacuated zones. */
-  void setEvacuatedZones(int zoneCount) {
-    evacuatedZones.set(zoneCount);
-  }
-
-  /** Counts the choice of an upstream that rules kept from some upstreams of the service. */
-  void placedElsewhere(Set<Reason> reasons) {
-    reasons.forEach(reason -> placedElsewhere.labelValues(reason.label()).inc());
-  }
-
   /** Sets the numbers of upstreams that leave and that pause. */
   void setRestrictedUpstreams(int leavingCount, int pausedCount) {
     restrictedUpstreams.labelValues("leaving").set(leavingCount);
@@ -229,6 +232,26 @@
     withdrawals.labelValues(reason).inc();
   }
 
+  /** Sets the number of evacuated zones. */
+  void setEvacuatedZones(int zoneCount) {
+    evacuatedZones.set(zoneCount);
+  }
+
+  /** Counts the answer to a request for a permit for a cold upstream. */
+  void coldPermit(boolean granted) {
+    coldPermits.labelValues(granted ? "granted" : "refused").inc();
+  }
+
+  /** Sets the number of cold upstreams. */
+  void setColdUpstreams(int upstreamCount) {
+    coldUpstreams.set(upstreamCount);
+  }
+
+  /** Counts the choice of an upstream that rules kept from some upstreams of the service. */
+  void placedElsewhere(Set<Reason> reasons) {
+    reasons.forEach(reason -> placedElsewhere.labelValues(reason.label()).inc());
+  }
+
   /** Sets the age of the copy of the configuration; -1 if it was never confirmed. */
   void setViewAge(double seconds) {
     viewAge.set(seconds);
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestAdmission.java
@@ -104,7 +104,7 @@
   private List<Estimate> estimates(StageProgress progress) {
     Map<String, Integer> upstreamsByRegion = new HashMap<>();
     for (UpstreamInstance upstream : reachable(serviceName)) {
-      if (components.upstreamStatements().mayStillSend(upstream)) {
+      if (components.upstreamStatements().mayBeUsed(upstream)) {
         upstreamsByRegion.merge(components.regions().regionOf(upstream.zone()), 1, Integer::sum);
       }
     }
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -70,6 +70,9 @@
    */
   private static final Duration INPUT_READ_TIME = Duration.ofMillis(60);
 
+  /** Time for which a permit is valid; a connection is opened within 700 ms. */
+  private static final Duration PERMIT_LIFETIME = Duration.ofMillis(800);
+
   /** Least urgent rank that an engine accepts. */
   private static final int MAX_ENGINE_RANK = 9;
 
@@ -489,6 +492,7 @@
     }
     attemptCount++;
     sent = false;
+    this.permitHeld = permitHeld;
     upstreamChoice.tried(upstream);
     components.upstreamStatements().sent(upstream);
     if (attemptCount == 1) {
@@ -526,7 +530,6 @@
             headers,
             exchange.request().body(),
             requestId());
-    this.permitHeld = permitHeld;
     UpstreamAttempt newAttempt =
         new UpstreamAttempt(
             components, guard, route, requestId(), crashSubjects, target.get(), answerStream, this);
@@ -558,12 +561,15 @@
     if (requestEnded || currentAttempt == null) {
       return;
     }
-    boolean blocked =
+    long now = components.loop().now();
+    boolean permitRecent = now - attemptStartedAt <= PERMIT_LIFETIME.toNanos();
+    UpstreamInstance upstream = currentAttempt.upstream();
+    boolean eligible =
         components
-            .eligibility()
-            .clear(currentAttempt.upstream(), scope(), permitHeld, components.loop().now())
-            .isEmpty();
-    if (blocked) {
+            .upstreamStatements()
+            .stillEligible(components.eligibility(), upstream, scope(), permitHeld && permitRecent);
+    if (!eligible) {
+      components.upstreamStatements().withdrawn(upstream, requestId());
       currentAttempt.cancel();
       attempt = null;
       attemptCount--;
@@ -620,12 +626,6 @@
         status < 400 ? "answered" : "upstream_error", () -> exchange.reply(status, headers, body));
   }
 
-  @Override
-  public void onWithdrawn(UpstreamInstance upstream) {
-    attemptCount--;
-    callUpstream(lastForwardedEventId());
-  }
-
   @Override
   public void onConnectFailed(UpstreamInstance upstream, String reason) {
     attemptCount--;
--- a/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageDispatcher.java
@@ -11,12 +11,15 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.Eligibility;
 import org.oriolewell.core.eligibility.EligibilityCheck;
 import org.oriolewell.core.eligibility.EligibleUpstream;
+import org.oriolewell.core.eligibility.Reason;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.route.StageService;
 import org.oriolewell.core.stage.PieceOutcome;
@@ -72,6 +75,7 @@
       StageService stageService,
       EligibilityCheck eligibility,
       CallScope scope,
+      Predicate<UpstreamInstance> permitsMissing,
       BiConsumer<StageWork, List<PieceOutcome>> outcomeListener) {
     this.loop = loop;
     this.client = client;
@@ -83,7 +87,11 @@
     this.eligibility = eligibility;
     this.scope = scope;
     this.outcomeListener = outcomeListener;
-    queue.callRule((upstream, now) -> eligibility.check(upstream, scope, now));
+    queue.callRule(
+        (upstream, now) ->
+            permitsMissing.test(upstream)
+                ? new Eligibility.Blocked(Reason.COLD, Duration.ZERO)
+                : eligibility.check(upstream, scope, now));
   }
 
   /** Replaces the upstreams that calls are sent to. */
@@ -196,9 +204,9 @@
 
     @Override
     public void onConnected() {
-      if (!callEnded && !statements.mayStillSend(call.upstream())) {
+      if (!callEnded && !statements.stillEligible(eligibility, call.upstream(), scope, true)) {
         statements.withdrawn(call.upstream(), "call " + call.id());
-        failCall("the upstream leaves or pauses, the call was not sent", true);
+        failCall("a rule blocks the upstream now, the call was not sent", true);
       }
     }
 
@@ -341,7 +349,7 @@
 
     @Override
     public void onConnected() {
-      if (!callEnded && !statements.mayStillSend(producer)) {
+      if (!callEnded && !statements.stillEligible(eligibility, producer, scope, true)) {
         cancel();
         statements.withdrawn(producer, "release");
       }
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamAttempt.java
@@ -64,12 +64,6 @@
     /** Ends the attempt: a complete answer that is no stream was received. */
     void onAnswer(int status, HttpFields headers, byte[] body);
 
-    /**
-     * Ends the attempt: the request was not written, since the upstream has stated meanwhile that
-     * it leaves or pauses.
-     */
-    void onWithdrawn(UpstreamInstance upstream);
-
     /** Ends the attempt: no connection could be opened, so the request was not sent. */
     void onConnectFailed(UpstreamInstance upstream, String reason);
 
@@ -109,9 +103,7 @@
   private boolean streaming;
   private boolean firstByteReported;
   private long firstByteAt;
-
-  /** Whether the attempt has ended before the request was written. */
-  private boolean endedUnsent;
+  private boolean connectFailed;
 
   /** Whether the answer has neither a length nor chunks and ends with its connection. */
   private boolean endsAtClose;
@@ -168,7 +160,7 @@
 
   /** Returns whether the upstream may have received the request. */
   boolean mayHaveBeenSent() {
-    return !endedUnsent;
+    return !connectFailed;
   }
 
   /** Cancels the attempt; the listener isn't called any more. */
@@ -218,16 +210,8 @@
 
   @Override
   public void onConnected() {
-    if (attemptEnded) {
-      return;
-    }
-    if (components.upstreamStatements().mayStillSend(upstream)) {
+    if (!attemptEnded) {
       listener.onConnected();
-    } else {
-      endedUnsent = true;
-      cancel();
-      components.upstreamStatements().withdrawn(upstream, requestId);
-      listener.onWithdrawn(upstream);
     }
   }
 
@@ -438,7 +422,7 @@
       endIncomplete(cause.toString());
       return;
     }
-    endedUnsent = true;
+    connectFailed = true;
     finish();
     components.health().failed(upstream.id(), UNREACHABLE_FAILURE_WEIGHT, components.loop().now());
     logFailure(cause.toString());
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
@@ -114,17 +114,17 @@
     return new UpstreamClient(loop, attemptIdHeader, answerMemory, storeAddress, maxConnections);
   }
 
+  /** Sends a request to the platform's store. */
+  Call sendToStore(UpstreamRequest request, UpstreamListener listener) {
+    return send(STORE_POOL_KEY, storeAddress, request, listener);
+  }
+
   /** Sends a request to an upstream that has passed the eligibility check. */
   Call send(EligibleUpstream target, UpstreamRequest request, UpstreamListener listener) {
     UpstreamInstance upstream = target.instance();
     return send(poolKey(upstream), upstream.address(), request, listener);
   }
 
-  /** Sends a request to the platform's store. */
-  Call sendToStore(UpstreamRequest request, UpstreamListener listener) {
-    return send(STORE_POOL_KEY, storeAddress, request, listener);
-  }
-
   /**
    * Sends a request over an idle connection, or over a new one if there is none.
    *
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamStatements.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamStatements.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.oriolewell.core.eligibility.CallScope;
+import org.oriolewell.core.eligibility.EligibilityCheck;
 import org.oriolewell.core.eligibility.EligibilityRule;
 import org.oriolewell.core.roster.UpstreamInstance;
 import org.oriolewell.core.upstream.Incarnation;
@@ -112,12 +114,23 @@
     return List.of(new LeavingRule(records), new PauseRule(records));
   }
 
+  /** Returns whether an upstream neither leaves nor pauses; it may wait for a turn. */
+  boolean mayBeUsed(UpstreamInstance upstream) {
+    return !records.leaving(upstream) && !records.paused(upstream, loop.now());
+  }
+
   /**
-   * Returns whether a request may still be written to an upstream that was chosen for it before,
-   * and that it was counted for by {@link #sent}.
+   * Checks a request or call again right before it is written. The turn after a pause that it was
+   * counted for by {@link #sent} doesn't block it; if another rule does, the turn is given back.
    */
-  boolean mayStillSend(UpstreamInstance upstream) {
-    return !records.leaving(upstream) && !records.paused(upstream, loop.now());
+  boolean stillEligible(
+      EligibilityCheck check, UpstreamInstance upstream, CallScope scope, boolean permitHeld) {
+    records.unsent(upstream);
+    boolean eligible = check.clear(upstream, scope, permitHeld, loop.now()).isPresent();
+    if (eligible) {
+      records.sent(upstream);
+    }
+    return eligible;
   }
 
   /** Counts a request for which an upstream was chosen. */
@@ -146,11 +159,12 @@
   boolean allPaused(List<UpstreamInstance> upstreams) {
     return !records.unrestricted()
         && !upstreams.isEmpty()
-        && upstreams.stream().noneMatch(this::mayStillSend);
+        && upstreams.stream().noneMatch(this::mayBeUsed);
   }
 
   /** Sets the metrics of the upstreams that get no requests. */
   void updateMetrics() {
-    metrics.setRestrictedUpstreams(records.leavingCount(), records.pausedCount(loop.now()));
+    metrics.setRestrictedUpstreams(
+        records.leavingCount(this::listed), records.pausedCount(loop.now()));
   }
 }
