--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -123,7 +123,7 @@
             loop, control, stageCoordinator, settings.value(GatewaySettings.PEER_ADDRESS), log);
     ObservationExchange exchange = new ObservationExchange(loop, mesh, self.name());
     mesh.observationListener(exchange);
-    CrashGuard crashGuard = new CrashGuard(loop, control, feed, client, exchange, log);
+    final CrashGuard crashGuard = new CrashGuard(loop, control, feed, client, exchange, log);
     stopGate = new StopGate(loop);
     coldUpstreams = ColdUpstreams.create(self.name(), control::coldStart);
     ruleLog = new RuleLog(loop, control, regions, coldUpstreams, log);
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -498,6 +498,7 @@
             Math.min(MAX_ENGINE_RANK, route.priority()));
     HttpFields headers =
         components.dialect().upstreamHeaders(exchange.request().headers(), additions);
+    this.permitHeld = permitHeld;
     UpstreamRequest request =
         new UpstreamRequest(
             exchange.request().method(),
@@ -505,7 +506,6 @@
             headers,
             exchange.request().body(),
             requestId());
-    this.permitHeld = permitHeld;
     UpstreamAttempt newAttempt =
         new UpstreamAttempt(
             components, guard, route, requestId(), crashSubjects, target.get(), answerStream, this);
--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamClient.java
@@ -107,12 +107,12 @@
   /** Sends a request to an upstream that has passed the eligibility check. */
   Call send(EligibleUpstream target, UpstreamRequest request, UpstreamListener listener) {
     UpstreamInstance upstream = target.instance();
-    return send(poolKey(upstream), upstream.address(), request, listener);
+    return sendTo(poolKey(upstream), upstream.address(), request, listener);
   }
 
   /** Sends a request to the platform's store. */
   Call sendToStore(UpstreamRequest request, UpstreamListener listener) {
-    return send(STORE_POOL_KEY, storeAddress, request, listener);
+    return sendTo(STORE_POOL_KEY, storeAddress, request, listener);
   }
 
   /**
@@ -121,7 +121,7 @@
    * @param poolKey identifies one start of one upstream, whose connections are reused
    * @param address IP address and port of the upstream
    */
-  private Call send(
+  private Call sendTo(
       String poolKey,
       Ipv4SocketAddress address,
       UpstreamRequest request,
