Add a fault for cold upstreams to the stand-ins

The fault cold_per_s turns into an outage as soon as a stand-in gets more than 1.5 times its value and 5 calls in one second.

--- a/standins/src/main/java/org/oriolewell/standins/Fault.java
+++ b/standins/src/main/java/org/oriolewell/standins/Fault.java
@@ -40,6 +40,12 @@
     SILENCE,
     /** Service times are multiplied by this factor. */
     SLOW_FACTOR,
+    /**
+     * The upstream is cold and takes this many calls a second. More than 1.5 times as many and 5 in
+     * one second crash it: the fault becomes an outage of the same duration, or of 3 s if it has
+     * none.
+     */
+    COLD_PER_S,
     /** This many calls of foreign load arrive, spread evenly over the duration. */
     BURST
   }
--- a/standins/src/main/java/org/oriolewell/standins/FaultPlan.java
+++ b/standins/src/main/java/org/oriolewell/standins/FaultPlan.java
@@ -1,6 +1,9 @@
 package org.oriolewell.standins;
 
+import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -9,6 +12,13 @@
 
 /** The faults in force at a stand-in. They are changed at run time. */
 public final class FaultPlan {
+  private static final Duration WINDOW = Duration.ofSeconds(1);
+  private static final double COLD_RATE_FACTOR = 1.5;
+  private static final int COLD_EXTRA_CALLS = 5;
+
+  /** Outage after the crash of a cold upstream, if the fault states no duration. */
+  private static final Duration CRASH_TIME = Duration.ofSeconds(3);
+
   private final List<Active> active = new ArrayList<>();
   private final Timer timer;
   private final EventLog log;
@@ -18,6 +28,7 @@
   private static final class Active {
     final Fault fault;
     final CompletableFuture<Void> ended = new CompletableFuture<>();
+    final Deque<Long> arrivals = new ArrayDeque<>();
     int remaining;
 
     Active(Fault fault) {
@@ -25,6 +36,15 @@
       this.remaining = fault.count() == 0 ? -1 : fault.count();
     }
 
+    /** Records a call to a cold upstream; returns whether it is one too many in a second. */
+    boolean overloads(long now) {
+      arrivals.addLast(now);
+      while (now - arrivals.getFirst() >= WINDOW.toNanos()) {
+        arrivals.removeFirst();
+      }
+      return arrivals.size() > fault.value() * COLD_RATE_FACTOR + COLD_EXTRA_CALLS;
+    }
+
     boolean affects(Fault.Kind kind, String label) {
       return fault.kind() == kind && remaining != 0 && label.startsWith(fault.on());
     }
@@ -144,6 +164,23 @@
     }
   }
 
+  /** Counts a call to a cold upstream, which crashes if it gets too many. */
+  void countColdCall(String label, long now) {
+    Fault crashed = null;
+    synchronized (active) {
+      for (Active a : active) {
+        if (a.affects(Fault.Kind.COLD_PER_S, label) && a.overloads(now)) {
+          crashed = a.fault;
+        }
+      }
+    }
+    if (crashed != null) {
+      clear(Fault.Kind.COLD_PER_S, crashed.on());
+      Duration duration = crashed.duration() == null ? CRASH_TIME : crashed.duration();
+      set(new Fault(Fault.Kind.OUTAGE, 0, 0, duration, crashed.on()));
+    }
+  }
+
   /** Returns the product of the slow factors for a label, without using their count. */
   double slowFactor(String label) {
     synchronized (active) {
--- a/standins/src/main/java/org/oriolewell/standins/StandinServer.java
+++ b/standins/src/main/java/org/oriolewell/standins/StandinServer.java
@@ -220,6 +220,7 @@
 
   /** Returns whether the call gets neither effect nor answer. */
   private boolean lost(HttpCall call, String label) {
+    faults.countColdCall(label, System.nanoTime());
     if (faults.take(Fault.Kind.OUTAGE, label).isPresent()) {
       call.drop();
       return true;
--- a/standins/src/test/java/org/oriolewell/standins/ServiceStandinTest.java
+++ b/standins/src/test/java/org/oriolewell/standins/ServiceStandinTest.java
@@ -68,6 +68,20 @@
     assertThat(service.executions().total()).isEqualTo(2);
   }
 
+  /** Guards against a cold upstream that never crashes, or crashes at the rate that it takes. */
+  @Test
+  void coldServiceCrashesAboveItsRate() {
+    Http.post(service, "/faults", "{\"cold_per_s\":2}");
+    int answered = 0;
+    while (answered < 1000 && service.faults().faults().get(0).kind() != Fault.Kind.OUTAGE) {
+      call().handle((reply, failure) -> reply).join();
+      answered++;
+    }
+    // The rate of 2 allows 8 calls in a second.
+    assertThat(service.executions().total()).isBetween(8L, 999L);
+    assertThat(service.faults().faults()).allMatch(f -> f.kind() == Fault.Kind.OUTAGE);
+  }
+
   /** Guards against a full queue that runs calls although it refuses them. */
   @Test
   void fullQueueRefusesWithoutEffect() {
