--- a/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestFlow.java
@@ -523,6 +523,7 @@
             Math.min(MAX_ENGINE_RANK, route.priority()));
     HttpFields headers =
         components.dialect().upstreamHeaders(exchange.request().headers(), additions);
+    this.permitHeld = permitHeld;
     UpstreamRequest request =
         new UpstreamRequest(
             exchange.request().method(),
