Spare small requests while running ones take up the memory

Cause: where running requests held most of the bound, all others would have been given up, the newest ordinary one included, and the choice was repeated for each change of the account.

--- a/core/src/main/java/org/oriolewell/core/overload/CallerMemory.java
+++ b/core/src/main/java/org/oriolewell/core/overload/CallerMemory.java
@@ -26,6 +26,12 @@
   /** Percentage of a threshold that remains in use after requests were given up. */
   private static final int REMAINING_PERCENT = 90;
 
+  /** Percentage of the bound that is left to requests which don't run, as far as it is free. */
+  private static final int SPARED_PERCENT = 10;
+
+  /** Time between two choices if there was nothing to choose, as a choice looks at everything. */
+  private static final long CHOICE_INTERVAL_NANOS = 20_000_000;
+
   /** Smallest share of the bound that one connection may hold while others are paused. */
   private static final int SMALL_DIVISOR = 512;
 
@@ -39,6 +45,7 @@
   private final Set<CallerHolding> holdings = new LinkedHashSet<>();
   private long bytes;
   private long pressedSince;
+  private long nextChoiceAt = Long.MIN_VALUE;
   private boolean pressed;
 
   private CallerMemory(long maxBytes, long pauseGraceNanos) {
@@ -115,25 +122,33 @@
    * while the pause of the others may still help.
    */
   public List<CallerHolding> overdue(long now) {
-    if (bytes > maxBytes) {
-      return worst(maxBytes / 100 * REMAINING_PERCENT, now);
+    if (bytes > maxBytes && now >= nextChoiceAt) {
+      List<CallerHolding> chosen = worst(maxBytes / 100 * REMAINING_PERCENT, 0, now);
+      nextChoiceAt = chosen.isEmpty() ? now + CHOICE_INTERVAL_NANOS : now;
+      return chosen;
     }
     if (pressed && now - pressedSince >= pauseGraceNanos) {
       pressedSince = now;
-      return worst(pausedBytes / 100 * REMAINING_PERCENT, now);
+      return worst(pausedBytes / 100 * REMAINING_PERCENT, smallBytes, now);
     }
     return List.of();
   }
 
-  private List<CallerHolding> worst(long remainingBytes, long now) {
+  private List<CallerHolding> worst(long wantedBytes, long keptBytes, long now) {
     record Scored(CallerHolding holding, double score) {}
 
     List<Scored> candidates = new ArrayList<>();
+    long runningBytes = 0;
     for (CallerHolding holding : holdings) {
-      if (!holding.running()) {
+      if (holding.running()) {
+        runningBytes += holding.bytes();
+      } else if (holding.bytes() > keptBytes) {
         candidates.add(new Scored(holding, holding.score(now)));
       }
     }
+    // Where those that run take up most, giving up all others would only refuse ordinary requests.
+    long remainingBytes =
+        Math.max(wantedBytes, Math.min(maxBytes, runningBytes + maxBytes / 100 * SPARED_PERCENT));
     candidates.sort(Comparator.comparingDouble(Scored::score).reversed());
     List<CallerHolding> chosen = new ArrayList<>();
     long expectedBytes = bytes;
--- a/core/src/test/java/org/oriolewell/core/overload/CallerMemoryTest.java
+++ b/core/src/test/java/org/oriolewell/core/overload/CallerMemoryTest.java
@@ -97,6 +97,18 @@
     assertThat(memory.overdue(SECOND)).isEmpty();
   }
 
+  @Test
+  void smallRequestsAreSparedWhileOthersRun() {
+    holding(9 << 20, 0).run();
+    holding(20_000, 0);
+    holding(500_000, 0);
+
+    assertThat(memory.overdue(GRACE)).isEmpty();
+    CallerHolding larger = holding(700_000, GRACE);
+    assertThat(memory.bytes()).isGreaterThan(MAX_BYTES);
+    assertThat(memory.overdue(10 * SECOND)).containsExactly(larger);
+  }
+
   /** Random growth, shrinking and ends; giving up what is overdue always gets below the bound. */
   @Property(tries = 200)
   void givingUpWhatIsOverdueRespectsTheBound(
