--- a/core/src/main/java/org/oriolewell/core/overload/CallerMemory.java
+++ b/core/src/main/java/org/oriolewell/core/overload/CallerMemory.java
@@ -139,13 +139,18 @@
 
     List<Scored> candidates = new ArrayList<>();
     long runningBytes = 0;
+    long countedBytes = 0;
     for (CallerHolding holding : holdings) {
+      countedBytes += holding.bytes();
       if (holding.running()) {
         runningBytes += holding.bytes();
       } else if (holding.bytes() > keptBytes) {
         candidates.add(new Scored(holding, holding.score(now)));
       }
     }
+    // Counted again, so that an error in the sum can't keep callers paused for ever.
+    bytes = countedBytes;
+    updatePressure(now);
     // Where those that run take up most, giving up all others would only refuse ordinary requests.
     long remainingBytes =
         Math.max(wantedBytes, Math.min(maxBytes, runningBytes + maxBytes / 100 * SPARED_PERCENT));
