Bound the request bodies and connections that JsonServer holds for callers

Cause: the HTTP ports of the entry read any number of bodies into memory. 300 bodies of 1 MiB (half whole, a quarter each in large and in one-byte chunks), each stopped short and left open, 300 unfinished heads and 20 pipelining connections gave an entry with a heap of 64 MB 278 OutOfMemoryErrors on the callers' port and 140 on the operators' port within 30 s; an ordinary request got no answer. The operators' port of the agent and of the gateway held out.

Change: bodies hold at most an eighth of the heap, until their answer. Under pressure a body that stalls or arrives slowly is given up first, with 503; if there is none, the one that needs more memory. Jetty's ConnectionLimit bounds the connections by heap and descriptors.

--- a/entry/src/main/java/org/oriolewell/entry/Problems.java
+++ b/entry/src/main/java/org/oriolewell/entry/Problems.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 import org.oriolewell.core.result.Failure;
 import org.oriolewell.core.result.ProblemKind;
+import org.oriolewell.runtime.http.BodyMemoryException;
 import org.oriolewell.runtime.http.BodyTooLargeException;
 import org.oriolewell.runtime.http.HttpReply;
 
@@ -50,6 +51,10 @@
     if (failure instanceof ProblemException problem) {
       return reply(problem.failure(), null);
     }
+    if (failure instanceof BodyMemoryException) {
+      return reply(
+          Failure.notRun(ProblemKind.OVERLOADED, String.valueOf(failure.getMessage()), 1000), null);
+    }
     if (failure instanceof BodyTooLargeException) {
       return reply(
           Failure.notRun(ProblemKind.BODY_TOO_LARGE, String.valueOf(failure.getMessage())), null);
--- a/runtime/src/main/java/org/oriolewell/runtime/http/HttpCall.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/http/HttpCall.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -10,7 +9,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -26,6 +24,7 @@
   private final Callback callback;
   private final byte[] body;
   private final Map<String, String> pathParameters;
+  private final Runnable onEnd;
   private final AtomicBoolean callbackNotified = new AtomicBoolean();
 
   HttpCall(
@@ -33,7 +32,9 @@
       Response response,
       Callback callback,
       byte[] body,
-      Map<String, String> pathParameters) {
+      Map<String, String> pathParameters,
+      Runnable onEnd) {
+    this.onEnd = onEnd;
     this.request = request;
     this.response = response;
     this.callback = callback;
@@ -153,66 +154,15 @@
 
   private void succeed() {
     if (callbackNotified.compareAndSet(false, true)) {
+      onEnd.run();
       callback.succeeded();
     }
   }
 
   private void fail(Throwable cause) {
     if (callbackNotified.compareAndSet(false, true)) {
+      onEnd.run();
       callback.failed(cause);
     }
   }
-
-  static CompletableFuture<byte[]> readBody(Request request, int maxBodyBytes) {
-    CompletableFuture<byte[]> bodyFuture = new CompletableFuture<>();
-    if (request.getLength() > maxBodyBytes) {
-      bodyFuture.completeExceptionally(new BodyTooLargeException(maxBodyBytes));
-      return bodyFuture;
-    }
-    new BodyReader(request, maxBodyBytes, bodyFuture).run();
-    return bodyFuture;
-  }
-
-  /** Reads a request body chunk by chunk, up to a limit. */
-  private static final class BodyReader implements Runnable {
-    private final Request request;
-    private final int maxBodyBytes;
-    private final CompletableFuture<byte[]> bodyFuture;
-    private final ByteArrayOutputStream receivedBytes = new ByteArrayOutputStream();
-
-    BodyReader(Request request, int maxBodyBytes, CompletableFuture<byte[]> bodyFuture) {
-      this.request = request;
-      this.maxBodyBytes = maxBodyBytes;
-      this.bodyFuture = bodyFuture;
-    }
-
-    @Override
-    public void run() {
-      while (true) {
-        Content.Chunk chunk = request.read();
-        if (chunk == null) {
-          request.demand(this);
-          return;
-        }
-        if (Content.Chunk.isFailure(chunk)) {
-          bodyFuture.completeExceptionally(chunk.getFailure());
-          return;
-        }
-        ByteBuffer chunkBuffer = chunk.getByteBuffer();
-        byte[] part = new byte[chunkBuffer.remaining()];
-        chunkBuffer.get(part);
-        receivedBytes.writeBytes(part);
-        boolean last = chunk.isLast();
-        chunk.release();
-        if (receivedBytes.size() > maxBodyBytes) {
-          bodyFuture.completeExceptionally(new BodyTooLargeException(maxBodyBytes));
-          return;
-        }
-        if (last) {
-          bodyFuture.complete(receivedBytes.toByteArray());
-          return;
-        }
-      }
-    }
-  }
 }
--- a/runtime/src/main/java/org/oriolewell/runtime/http/JsonServer.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/http/JsonServer.java
@@ -1,5 +1,7 @@
 package org.oriolewell.runtime.http;
 
+import com.sun.management.UnixOperatingSystemMXBean;
+import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -10,6 +12,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.server.ConnectionLimit;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -35,6 +38,15 @@
 public final class JsonServer implements AutoCloseable {
   private static final int MAX_THREADS = 64;
 
+  /** Part of the heap for request bodies: a growing buffer and its copy take up to three times. */
+  private static final int BODY_HEAP_DIVISOR = 8;
+
+  /**
+   * Heap for each connection, whose buffers and objects take less. It bounds the connections, so
+   * that those that send nothing leave memory for the others.
+   */
+  private static final int HEAP_BYTES_PER_CONNECTION = 32 << 10;
+
   /** Time that closing the server allows for requests in progress to be answered. */
   private static final Duration GRACEFUL_STOP_TIMEOUT = Duration.ofSeconds(5);
 
@@ -44,10 +56,16 @@
   private final Server server;
   private final ServerConnector connector;
   private final EventLog log;
+  private final BodyRefusals refusals;
   private final int maxBodyBytes;
   private final List<Route> routes = new ArrayList<>();
+  private final BodyBudget bodyBudget =
+      BodyBudget.of(Runtime.getRuntime().maxMemory() / BODY_HEAP_DIVISOR);
   private Function<Throwable, HttpReply> failureMapping =
-      failure -> HttpReply.json(500, Map.of("error", String.valueOf(failure.getMessage())));
+      failure ->
+          HttpReply.json(
+              failure instanceof BodyMemoryException ? 503 : 500,
+              Map.of("error", String.valueOf(failure.getMessage())));
 
   private record Route(
       String method,
@@ -61,6 +79,7 @@
       SslContextFactory.@Nullable Server tls,
       EventLog log) {
     this.log = log;
+    refusals = new BodyRefusals(log);
     this.maxBodyBytes = maxBodyBytes;
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, 4);
     threads.setName("http");
@@ -84,10 +103,21 @@
     connector.setAcceptQueueSize(1024);
     connector.setShutdownIdleTimeout(IDLE_TIMEOUT_WHILE_STOPPING.toMillis());
     server.addConnector(connector);
+    server.addBean(new ConnectionLimit(maxConnections(), connector));
     server.setHandler(new GracefulHandler(new RoutingHandler()));
     server.setStopTimeout(GRACEFUL_STOP_TIMEOUT.toMillis());
   }
 
+  /** Returns the most connections that neither the heap nor the descriptors can run out of. */
+  private static int maxConnections() {
+    long byHeap = Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_CONNECTION;
+    long byDescriptors =
+        ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean system
+            ? system.getMaxFileDescriptorCount() / 2
+            : Long.MAX_VALUE;
+    return (int) Math.max(1, Math.min(Integer.MAX_VALUE, Math.min(byHeap, byDescriptors)));
+  }
+
   /**
    * Returns a server without TLS that isn't started yet.
    *
@@ -202,7 +232,7 @@
           return true;
         }
       }
-      HttpCall call = new HttpCall(request, response, callback, new byte[0], Map.of());
+      HttpCall call = new HttpCall(request, response, callback, new byte[0], Map.of(), () -> {});
       call.reply(
           HttpReply.json(
               pathExists ? 405 : 404,
@@ -216,8 +246,11 @@
         Response response,
         Callback callback,
         Map<String, String> parameters) {
-      HttpCall callWithoutBody = new HttpCall(request, response, callback, new byte[0], parameters);
-      HttpCall.readBody(request, maxBodyBytes)
+      BodyReader reader = new BodyReader(request, maxBodyBytes, bodyBudget);
+      HttpCall callWithoutBody =
+          new HttpCall(request, response, callback, new byte[0], parameters, reader::release);
+      reader
+          .start()
           .whenComplete(
               (body, failure) -> {
                 if (failure != null) {
@@ -225,7 +258,8 @@
                   fail(callWithoutBody, failure);
                   return;
                 }
-                HttpCall call = new HttpCall(request, response, callback, body, parameters);
+                HttpCall call =
+                    new HttpCall(request, response, callback, body, parameters, reader::release);
                 run(route, call);
               });
     }
@@ -254,7 +288,9 @@
               ? failure.getCause()
               : failure;
       HttpReply reply = failureMapping.apply(cause);
-      if (reply.status() >= 500) {
+      if (cause instanceof BodyMemoryException) {
+        refusals.report(cause);
+      } else if (reply.status() >= 500) {
         log.event(RuntimeEvent.HANDLER_FAILED).cause(cause).write();
       }
       call.reply(reply);
--- a/runtime/src/main/java/org/oriolewell/runtime/log/RuntimeEvent.java
+++ b/runtime/src/main/java/org/oriolewell/runtime/log/RuntimeEvent.java
@@ -32,6 +32,11 @@
   TASK_FAILED(
       1031, Level.SEVERE, "A task of the event loop failed; report it as a defect with its place."),
   HANDLER_FAILED(1030, Level.SEVERE, "An HTTP handler failed; report it as a defect."),
+  BODIES_REFUSED(
+      1051,
+      Level.WARNING,
+      "Request bodies were given up, since they hold as much memory as they may;"
+          + " look for callers that stop short."),
   TASKS_OVERLAP(
       1050,
       Level.SEVERE,
--- a/runtime/src/test/java/org/oriolewell/runtime/net/EventLoopTest.java
+++ b/runtime/src/test/java/org/oriolewell/runtime/net/EventLoopTest.java
@@ -170,7 +170,7 @@
     loop.every(Duration.ofNanos(1), runs::incrementAndGet);
     loop.execute(loop::close);
     loop.close();
-    int runsAtEnd = runs.get();
+    final int runsAtEnd = runs.get();
     loop.execute(runs::incrementAndGet);
     loop.dispatch(runs::incrementAndGet);
     LockSupport.parkNanos(Duration.ofMillis(20).toNanos());
