--- a/proofs/src/test/java/org/oriolewell/proofs/ClientLoadTest.java
+++ b/proofs/src/test/java/org/oriolewell/proofs/ClientLoadTest.java
@@ -11,11 +11,13 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -38,12 +40,23 @@
   private static final int MAX_DESCRIPTORS = 1000;
   private static final int READ_TIMEOUT_MILLIS = 20_000;
 
-  @TempDir private Path folder;
-  private Process process;
+  private final List<Process> processes = new ArrayList<>();
+  private Path folder;
+
+  @BeforeEach
+  void createFolder(@TempDir Path newFolder) {
+    folder = newFolder;
+  }
 
   @AfterEach
   void stop() throws Exception {
-    process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+    for (Process started : processes) {
+      started.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+    }
+  }
+
+  private Process process() {
+    return processes.get(0);
   }
 
   @Test
@@ -108,7 +121,7 @@
       assertThat(load).isNotNull();
     }
     assertThat(awaitAnswer(port, ordinary)).startsWith("HTTP/1.1 ");
-    assertThat(process.isAlive()).as(output()).isTrue();
+    assertThat(process().isAlive()).as(output()).isTrue();
     assertThat(output()).doesNotContain("OutOfMemoryError");
   }
 
@@ -123,12 +136,12 @@
             program.getName(),
             "--settings",
             settingsFile.toString());
-    process =
+    processes.add(
         new ProcessBuilder(
                 Stream.of(List.of(java), JVM_OPTIONS, arguments).flatMap(List::stream).toList())
             .redirectErrorStream(true)
             .redirectOutput(folder.resolve("output.log").toFile())
-            .start();
+            .start());
   }
 
   private String output() throws IOException {
@@ -136,7 +149,7 @@
   }
 
   private long residentKilobytes() throws IOException {
-    return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+    return Files.readAllLines(Path.of("/proc/" + process().pid() + "/status")).stream()
         .filter(line -> line.startsWith("VmRSS:"))
         .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
         .findFirst()
@@ -144,14 +157,14 @@
   }
 
   private long descriptors() throws IOException {
-    try (Stream<Path> entries = Files.list(Path.of("/proc/" + process.pid() + "/fd"))) {
+    try (Stream<Path> entries = Files.list(Path.of("/proc/" + process().pid() + "/fd"))) {
       return entries.count();
     }
   }
 
   /** Repeats a request until it is answered; the test's time-out bounds the repetition. */
   private String awaitAnswer(int port, String requestLine) throws IOException {
-    while (process.isAlive()) {
+    while (process().isAlive()) {
       try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
         socket.setSoTimeout(READ_TIMEOUT_MILLIS);
         String request =
