Drop old capacity reports also at gateways that aren't the collector

Cause: the reports of a gateway that has ceased to be the collector were kept, one for each connection that had sent any.

Change: each report that arrives removes those that are too old.

--- a/core/src/main/java/org/oriolewell/core/capacity/CapacityCollector.java
+++ b/core/src/main/java/org/oriolewell/core/capacity/CapacityCollector.java
@@ -66,6 +66,8 @@
 
   /** Takes over a gateway's report, which replaces its previous one. */
   public void reported(String origin, CapacityReport report, long now) {
+    // Not left to nextSums, which isn't called at a gateway that has ceased to be the collector.
+    removeOldReports(now);
     reportsByOrigin.put(origin, new Reported(report, now));
     for (int i = 0; i < report.measured().size(); i++) {
       long gapNanos = Duration.ofNanos(1000L * report.gapMicros().get(i)).toNanos();
@@ -102,10 +104,14 @@
     return new CapacitySums(upstreams, tenthsOfWork, levels);
   }
 
-  private void updateTotals(long now) {
+  private void removeOldReports(long now) {
     reportsByOrigin
         .values()
         .removeIf(reported -> now - reported.reportedAt() > REPORT_AGE.toNanos());
+  }
+
+  private void updateTotals(long now) {
+    removeOldReports(now);
     speeds.removeOld(now);
     Map<String, Integer> tenths = new HashMap<>();
     for (Reported reported : reportsByOrigin.values()) {
