--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -11,7 +11,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpFields;
-import org.oriolewell.core.capacity.LearnedSpeeds;
+import org.oriolewell.core.capacity.SharedCapacity;
+import org.oriolewell.core.capacity.UnansweredWork;
 import org.oriolewell.core.eligibility.ColdUpstreams;
 import org.oriolewell.core.eligibility.EligibilityCheck;
 import org.oriolewell.core.eligibility.EligibilityRule;
@@ -128,7 +129,8 @@
             log);
     Regions regions = Regions.parse(settings.value(GatewaySettings.ZONE_REGIONS));
     final UpstreamHealth health = UpstreamHealth.create();
-    final LearnedSpeeds speeds = LearnedSpeeds.create();
+    final UnansweredWork unansweredWork = UnansweredWork.create();
+    final SharedCapacity capacity = SharedCapacity.of(unansweredWork);
     statements = new UpstreamStatements(loop, control, metrics, log);
     stageCoordinator =
         new StageCoordinator(
@@ -138,6 +140,10 @@
             loop, control, stageCoordinator, settings.value(GatewaySettings.PEER_ADDRESS), log);
     ObservationExchange exchange = new ObservationExchange(loop, mesh, self.name());
     mesh.observationListener(exchange);
+    if (settings.value(GatewaySettings.LEARN_CAPACITY)) {
+      CapacityExchange capacityExchange = new CapacityExchange(loop, control, mesh, capacity);
+      loop.execute(capacityExchange::start);
+    }
     final CrashGuard crashGuard = new CrashGuard(loop, control, feed, client, exchange, log);
     stopGate = new StopGate(loop);
     coldUpstreams = ColdUpstreams.create(self.name(), control::coldStart);
@@ -158,8 +164,9 @@
             stageCoordinator,
             regions,
             health,
-            speeds,
-            placement(settings, health, speeds),
+            unansweredWork,
+            capacity,
+            placement(settings, health, capacity),
             FirstByteTimes.create(),
             ForecastBias.create(),
             CallerPatience.create(),
@@ -188,6 +195,7 @@
               metrics.setOpenExchanges(intake.openExchanges());
               metrics.setBufferedBytes(answerMemory.bytes());
               metrics.setViewAge(control.ageMillis() / 1000.0);
+              metrics.setUpstreamSpeeds(capacity.speeds(loop.now()));
               metrics.setQuarantined(crashGuard.quarantinedCount());
               statements.updateMetrics();
               metrics.setColdUpstreams(coldUpstreams.coldCount(loop.now()));
@@ -252,10 +260,10 @@
   }
 
   private static Placement placement(
-      Settings settings, UpstreamHealth health, LearnedSpeeds speeds) {
+      Settings settings, UpstreamHealth health, SharedCapacity capacity) {
     SplittableRandom random = new SplittableRandom(settings.value(GatewaySettings.NAME).hashCode());
     return settings.value(GatewaySettings.LEARN_CAPACITY)
-        ? Placement.of(health, speeds::level, random)
+        ? Placement.of(health, capacity, random)
         : Placement.of(health, random);
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewayMetrics.java
@@ -38,6 +38,7 @@
   private final Gauge callerBytes;
   private final Gauge callerConnections;
   private final Counter callerLosses;
+  private final Gauge upstreamSpeeds;
 
   private GatewayMetrics(PrometheusRegistry registry) {
     CounterWithCallback.builder()
@@ -153,6 +154,12 @@
             .help("Requests refused and connections closed to save memory or descriptors.")
             .labelNames("reason", "workspace")
             .register(registry);
+    upstreamSpeeds =
+        Gauge.builder()
+            .name("oriolewell_gateway_upstream_speed")
+            .help("Learned speed of an upstream; 1 is 20 ms between the events of a stream.")
+            .labelNames("upstream")
+            .register(registry);
   }
 
   /** Creates the metrics and registers them. */
@@ -252,6 +259,12 @@
     reasons.forEach(reason -> placedElsewhere.labelValues(reason.label()).inc());
   }
 
+  /** Sets the learned speeds by upstream; others are no longer shown. */
+  void setUpstreamSpeeds(Map<String, Double> speedsById) {
+    upstreamSpeeds.clear();
+    speedsById.forEach((id, speed) -> upstreamSpeeds.labelValues(id).set(speed));
+  }
+
   /** Sets the age of the copy of the configuration; -1 if it was never confirmed. */
   void setViewAge(double seconds) {
     viewAge.set(seconds);
