Ask about cold upstreams only while one may be cold

Cause: the rule looked at all listed upstreams for each choice, also where no service has a cold start.

Change: each tick notes whether any upstream may be cold.

Result: ColdUpstreamsTest 11 of 11, ColdUpstreamTest 2 of 2 and UpstreamLimitTest 7 of 7 pass.

--- a/core/src/main/java/org/oriolewell/core/eligibility/ColdUpstreams.java
+++ b/core/src/main/java/org/oriolewell/core/eligibility/ColdUpstreams.java
@@ -50,6 +50,9 @@
   private final long nameHash;
   private final Map<String, State> statesById = new HashMap<>();
 
+  /** Whether an upstream may be cold, or returns to full load; kept up to date by each tick. */
+  private boolean anyActive;
+
   /** The last entry of an upstream, and until when it is cold. */
   private static final class State {
     private UpstreamEntry entry;
@@ -122,6 +125,7 @@
       state.stated = true;
     }
     state.over = !state.started && !state.stated;
+    anyActive |= !state.over;
     return true;
   }
 
@@ -137,6 +141,7 @@
    */
   public List<UpstreamInstance> tick(long now) {
     List<UpstreamInstance> warm = new ArrayList<>();
+    anyActive = false;
     for (State state : statesById.values()) {
       ColdStart coldStart = coldStarts.apply(state.entry.instance().service());
       if (!state.over && coldStart != null) {
@@ -145,6 +150,7 @@
           warm.add(state.entry.instance());
         }
       }
+      anyActive |= !state.over;
     }
     return warm;
   }
@@ -174,12 +180,7 @@
 
   @Override
   public boolean active(CallScope scope) {
-    for (State state : statesById.values()) {
-      if (!state.over) {
-        return true;
-      }
-    }
-    return false;
+    return anyActive;
   }
 
   @Override
