--- a/core/src/main/java/org/oriolewell/core/placement/EngineRanking.java
+++ b/core/src/main/java/org/oriolewell/core/placement/EngineRanking.java
@@ -16,9 +16,6 @@
  * hashing.
  */
 final class EngineRanking {
-  private static final int HASH_BITS_DROPPED = 11;
-  private static final double HASH_UNIT = 0x1p-53;
-
   private final List<UpstreamInstance> engines;
   private final double[] speedRatios;
   private final double[] weights;
@@ -67,27 +64,20 @@
     double maxPerSpeed = bound.draw(totalLoad / totalSpeed, random);
     int first = 0;
     int firstWithinBound = -1;
-    double lowestCost = Double.POSITIVE_INFINITY;
-    double lowestCostWithinBound = Double.POSITIVE_INFINITY;
+    double highestRank = Double.NEGATIVE_INFINITY;
+    double highestRankWithinBound = Double.NEGATIVE_INFINITY;
     for (int i = 0; i < load.length; i++) {
-      double cost = cost(prefixHash, i);
-      if (cost < lowestCost) {
+      double rank = Hashing.weightedRank(prefixHash, Hashing.of(engines.get(i).id()), weights[i]);
+      if (rank > highestRank) {
         first = i;
-        lowestCost = cost;
+        highestRank = rank;
       }
       boolean withinBound = load[i] <= maxPerSpeed * speedRatios[i];
-      if (withinBound && cost < lowestCostWithinBound) {
+      if (withinBound && rank > highestRankWithinBound) {
         firstWithinBound = i;
-        lowestCostWithinBound = cost;
+        highestRankWithinBound = rank;
       }
     }
     return engines.get(firstWithinBound >= 0 ? firstWithinBound : first);
   }
-
-  /** Returns an exponentially distributed value with the engine's weight as rate. */
-  private double cost(long prefixHash, int engine) {
-    long rank = Hashing.rank(prefixHash, Hashing.of(engines.get(engine).id()));
-    double uniform = (((rank ^ Long.MIN_VALUE) >>> HASH_BITS_DROPPED) + 0.5) * HASH_UNIT;
-    return -Math.log(uniform) / weights[engine];
-  }
 }
--- a/core/src/main/java/org/oriolewell/core/routing/Hashing.java
+++ b/core/src/main/java/org/oriolewell/core/routing/Hashing.java
@@ -2,6 +2,12 @@
 
 /** Hash functions for rendezvous hashing, with the same results in every process. */
 public final class Hashing {
+  /** Bits of a hash that a double has no place for. */
+  private static final int DROPPED_BITS = 11;
+
+  /** Difference of the numbers between 0 and 1 that the other bits stand for. */
+  private static final double UNIT = 0x1p-53;
+
   private Hashing() {}
 
   /** Returns a value scrambled by the finalizer of MurmurHash3. */
@@ -34,14 +40,15 @@
   /**
    * Returns the rank of a member for a key in weighted rendezvous hashing: each member is preferred
    * for a share of the keys in proportion to its weight, and a change of one weight moves only keys
-   * from or to that member.
+   * from or to that member. Members of equal weight have the order of {@link #rank}.
    *
    * @param key hash of the key
    * @param member hash of the member's name
    * @param weight weight of the member, above 0
    */
   public static double weightedRank(long key, long member, double weight) {
-    double uniform = ((rank(key, member) >>> 11) + 0.5) * 0x1.0p-53;
+    long unsignedRank = rank(key, member) ^ Long.MIN_VALUE;
+    double uniform = ((unsignedRank >>> DROPPED_BITS) + 0.5) * UNIT;
     return -weight / Math.log(uniform);
   }
 }
--- a/core/src/test/java/org/oriolewell/core/placement/RegionAffinityReplayTest.java
+++ b/core/src/test/java/org/oriolewell/core/placement/RegionAffinityReplayTest.java
@@ -87,7 +87,7 @@
   }
 
   @Test
-  void regionIsHomeOfAShareInProportionToItsEngines() {
+  void regionIsHomeInProportionToItsEngines() {
     long southern = 0;
     for (long prefix = 1; prefix <= 3000; prefix++) {
       Map<String, Integer> engines = Map.of("south", 6, "north", 2);
