--- a/review/standins-2/SilentStream.java
+++ b/review/standins-2/SilentStream.java
@@ -1,7 +1,5 @@
 import java.io.OutputStream;
 import java.net.Socket;
-import java.nio.file.Path;
-import java.time.Duration;
 import java.util.List;
 
 /**
@@ -23,14 +21,7 @@
   }
 
   public static void main(String[] args) throws Exception {
-    Deployment deployment = new Deployment(Path.of(args[0]));
-    deployment.limit(Duration.ofSeconds(100));
-    try {
-      deployment.end(new SilentStream(deployment).run() ? 1 : 0);
-    } catch (Deployment.NotRun e) {
-      deployment.record(e.getMessage());
-      deployment.end(2);
-    }
+    Deployment.run(args[0], deployment -> new SilentStream(deployment).run());
   }
 
   /** Streams the events; the run that begins at the first event is preempted after the second. */
