--- a/review/standins-2/EarlyHup.java
+++ b/review/standins-2/EarlyHup.java
@@ -1,5 +1,3 @@
-import java.nio.file.Path;
-import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -8,14 +6,7 @@
   private static final int[] DELAYS = {100, 200, 300, 400, 600, 900};
 
   public static void main(String[] args) throws Exception {
-    Deployment deployment = new Deployment(Path.of(args[0]));
-    deployment.limit(Duration.ofSeconds(110));
-    try {
-      deployment.end(run(deployment) ? 1 : 0);
-    } catch (Deployment.NotRun e) {
-      deployment.record(e.getMessage());
-      deployment.end(2);
-    }
+    Deployment.run(args[0], EarlyHup::run);
   }
 
   private static boolean run(Deployment deployment) throws Exception {
