--- a/review/standins-2/EarlyHup.java
+++ b/review/standins-2/EarlyHup.java
@@ -3,6 +3,9 @@
 
 /** The settings change while gateways start, and the platform tells them so by SIGHUP. */
 final class EarlyHup {
+  /** Least time between two signals: `gap_s` of the site file. */
+  private static final int GAP_MILLIS = 2000;
+
   private static final int[] DELAYS = {100, 200, 300, 400, 600, 900};
 
   public static void main(String[] args) throws Exception {
@@ -17,6 +20,7 @@
     deployment.awaitReady(deployment.startGateway("front-caerdydd-a-1"));
     int ended = 0;
     for (int delay : DELAYS) {
+      Deployment.pause(GAP_MILLIS);
       Deployment.Gateway gateway = deployment.startGateway("front-caerdydd-a-2-" + delay);
       Deployment.pause(delay);
       if (Deployment.trouble()) {
