--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -11,9 +11,11 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -70,6 +72,7 @@
   private final List<String> record = new ArrayList<>();
   private final Map<String, String> serverFields = new LinkedHashMap<>();
   private final List<Process> processes = new ArrayList<>();
+  private final Set<Integer> givenPorts = new HashSet<>();
   private long sequence;
 
   Deployment(Path folder) throws IOException {
@@ -181,10 +184,16 @@
 
   // Gateways.
 
-  /** Returns a free port below those that the system gives to outgoing channels. */
-  private static int freePort() throws IOException {
+  /**
+   * Returns a free port below those that the system gives to outgoing channels, and not one that it
+   * has returned before: that one's gateway may not have opened it yet.
+   */
+  private synchronized int freePort() throws IOException {
     while (true) {
       int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+      if (!givenPorts.add(port)) {
+        continue;
+      }
       try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
         return socket.getLocalPort();
       } catch (BindException e) {
@@ -242,25 +251,61 @@
   }
 
   /** Waits until a gateway says that it is ready. */
-  void awaitReady(Gateway gateway) throws NotRun {
-    for (int i = 0; i < 300; i++) {
+  private void awaitReady(Gateway gateway) throws NotRun {
+    for (int i = 0; i < 300 && gateway.process.isAlive(); i++) {
       if (ready(gateway)) {
         record("gateway " + gateway.name + " is ready");
         return;
       }
       pause(100);
     }
+    recordLog(gateway);
     throw new NotRun("the gateway " + gateway.name + " is not ready");
   }
 
+  /**
+   * Waits until a gateway is ready. If another program has taken one of its ports since it was
+   * found free, the gateway is started again on other ports.
+   */
+  Gateway awaitReadyOnFreePorts(Gateway first) throws IOException, NotRun {
+    Gateway gateway = first;
+    for (int i = 0; i < 3; i++) {
+      try {
+        awaitReady(gateway);
+        return gateway;
+      } catch (NotRun e) {
+        Path log = folder.resolve(gateway.name + ".log");
+        if (gateway.process.isAlive() || !Files.readString(log).contains("already in use")) {
+          throw e;
+        }
+        Files.delete(log);
+        gateway = startGateway(gateway.name);
+      }
+    }
+    awaitReady(gateway);
+    return gateway;
+  }
+
+  /** Adds the end of a gateway's log to the record. */
+  private void recordLog(Gateway gateway) {
+    record("process " + gateway.process.pid() + " runs: " + gateway.process.isAlive());
+    try {
+      List<String> lines = Files.readAllLines(folder.resolve(gateway.name + ".log"));
+      lines.subList(Math.max(0, lines.size() - 8), lines.size())
+          .forEach(line -> record("log: " + line));
+    } catch (IOException e) {
+      record("no log of " + gateway.name + ": " + e);
+    }
+  }
+
   /** Starts three gateways and returns the first when they have been ready for `contact_ms`. */
   Gateway startGateways() throws IOException, NotRun {
     List<Gateway> gateways = new ArrayList<>();
     for (int i = 1; i <= 3; i++) {
       gateways.add(startGateway("front-caerdydd-a-" + i));
     }
-    for (Gateway gateway : gateways) {
-      awaitReady(gateway);
+    for (int i = 0; i < gateways.size(); i++) {
+      gateways.set(i, awaitReadyOnFreePorts(gateways.get(i)));
     }
     pause(CONTACT_MILLIS + 500);
     return gateways.get(0);
--- a/review/standins-2/HugeCount.java
+++ b/review/standins-2/HugeCount.java
@@ -113,8 +113,8 @@
           gateways[i] = deployment.startGateway("front-caerdydd-a-" + (i + 1));
         }
       }
-      for (Deployment.Gateway gateway : gateways) {
-        deployment.awaitReady(gateway);
+      for (int i = 0; i < gateways.length; i++) {
+        gateways[i] = deployment.awaitReadyOnFreePorts(gateways[i]);
       }
       Deployment.pause(Deployment.CONTACT_MILLIS + 500);
       for (int i = 0; i < gateways.length; i++) {
