--- a/review/standins-2/LateStop.java
+++ b/review/standins-2/LateStop.java
@@ -58,7 +58,7 @@
               + first.saysClose());
       if (!first.whole() || first.saysClose()) {
         deployment.record("the channel can't be used for another request");
-        return false;
+        return !Deployment.trouble();
       }
       long sentAfterMillis = (System.nanoTime() - stoppedAt) / 1_000_000;
       requester.send("POST", "/field-query/q", headers("b2", 280, 15000), "question");
@@ -72,8 +72,10 @@
           "b2 answered: " + second.status() + ", whole: " + second.whole() + ", " + events
               + " of 70 events, " + endedAfterMillis + " ms after the SIGTERM");
       Deployment.pause(300);
-      return Deployment.trouble()
-          && sentAfterMillis > 3000
+      if (!Deployment.trouble()) {
+        return !second.whole();
+      }
+      return sentAfterMillis > 3000
           && endedAfterMillis <= GRACE_MILLIS + 1000
           && !second.whole()
           && events > 0;
