Keep keys confirmed after a change that comes late in a watch of the store

Seen: FaultyAnswerTest.hundredAnswersWithoutEndAtOnceLeaveOtherCallersServed (once) and two cases of UpstreamLimitTest (once each) got 503, keys not confirmed, with a copy of the store that was 2406 and 2416 ms old; 2400 are allowed there. Cause: an answer with changes confirms the copy only up to the sending of its call, and the next watch waited 2 s in any case, 200 ms later. A change late in a watch left the copy older than allowed until the next watch ended, though the store had answered every call. With the operators' limit of 5 s one lost answer after such a change did the same. Change: core.roster.WatchSchedule bounds the wait of the next watch by the time for which the copy stays fresh, less the time of a call that gets no answer. Calls are as few as before unless a change comes late in a watch. Failed before: KeyConfirmationTest (503 in the first cycle). WatchScheduleTest replays changes at any time and a lost answer; a constant wait, its baseline, refuses keys in both.

--- a/core/src/main/java/org/oriolewell/core/roster/ViewFreshness.java
+++ b/core/src/main/java/org/oriolewell/core/roster/ViewFreshness.java
@@ -88,6 +88,11 @@
     return confirmed && now - confirmedAt < maxAgeNanos;
   }
 
+  /** Returns how long the copy stays fresh without a further confirmation; zero if it isn't. */
+  public Duration freshFor(long now) {
+    return fresh(now) ? Duration.ofNanos(maxAgeNanos - (now - confirmedAt)) : Duration.ZERO;
+  }
+
   /** Returns the milliseconds since the copy was last confirmed; -1 if it is unconfirmed. */
   public long ageMillis(long now) {
     return confirmed ? (now - confirmedAt) / NANOS_PER_MILLI : -1;
--- a/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
@@ -43,6 +43,8 @@
   /** Further delay of such a write, different for each gateway, so that one is enough. */
   private static final int MAX_DELAY_SPREAD_MILLIS = 2000;
 
+  private static final Duration UNBOUNDED_TIME = Duration.ofDays(1);
+
   private final EventLoop loop;
   private final ControlFeed feed;
   private final FeedReader reader;
@@ -399,6 +401,12 @@
     }
   }
 
+  /** No answer confirms the copy before the history is settled, so there is no hurry until then. */
+  @Override
+  public Duration confirmationTime() {
+    return history.isSettled(loop.now()) ? freshness.freshFor(loop.now()) : UNBOUNDED_TIME;
+  }
+
   @Override
   public void onSnapshot(Batch batch, long sentAt) {
     replaceAll(batch);
--- a/gateway/src/main/java/org/oriolewell/gateway/FeedReader.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/FeedReader.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.oriolewell.core.roster.WatchSchedule;
 import org.oriolewell.gateway.ControlFeed.Batch;
 import org.oriolewell.gateway.ControlFeed.FeedException;
 import org.oriolewell.gateway.ControlFeed.FeedException.Reason;
@@ -22,6 +23,9 @@
    */
   private static final Duration POLL_WAIT = Duration.ofMillis(2000);
 
+  /** Time for a call that gets no answer within 1 s of its wait, and for a short call after it. */
+  private static final Duration FAILED_POLL_RESERVE = Duration.ofMillis(1300);
+
   /** The same time for a call after a failed one, which has to confirm the copy soon. */
   static final Duration POLL_WAIT_AFTER_FAILURE = Duration.ofMillis(100);
 
@@ -44,8 +48,14 @@
    */
   private static final int MAX_UNUSABLE_POLLS = 3;
 
+  private static final WatchSchedule POLL_SCHEDULE =
+      new WatchSchedule(POLL_WAIT, POLL_WAIT_AFTER_FAILURE, FAILED_POLL_RESERVE);
+
   /** Receives what was read. */
   interface Receiver {
+    /** Returns the time within which the next answer has to confirm the copy. */
+    Duration confirmationTime();
+
     /** Called with the current values of everything. */
     void onSnapshot(Batch batch, long sentAt);
 
@@ -138,10 +148,14 @@
       guard.run("answer", receiver::onAnswered);
       guard.run("snapshot", () -> receiver.onSnapshot(batch, sentAt));
     } finally {
-      pollChanges(POLL_WAIT);
+      pollChanges();
     }
   }
 
+  private void pollChanges() {
+    pollChanges(POLL_SCHEDULE.nextWait(receiver.confirmationTime()));
+  }
+
   private void pollChanges(Duration maxWait) {
     long sentAt = loop.now();
     long afterRevision = revision;
@@ -162,9 +176,9 @@
     } finally {
       revision = batch.revision();
       if (batch.updates().isEmpty()) {
-        pollChanges(POLL_WAIT);
+        pollChanges();
       } else {
-        afterPause(CHANGE_BATCH_DELAY, () -> pollChanges(POLL_WAIT));
+        afterPause(CHANGE_BATCH_DELAY, this::pollChanges);
       }
     }
   }
