--- a/core/src/main/java/org/oriolewell/core/drain/StopAdmission.java
+++ b/core/src/main/java/org/oriolewell/core/drain/StopAdmission.java
@@ -15,13 +15,6 @@
  */
 @FunctionalInterface
 public interface StopAdmission {
-  /**
-   * Allowance for answers that take longer than all recent ones, as a multiple of the longest. Used
-   * for the few requests that come late on open connections, each of which another process can
-   * take.
-   */
-  int LONGEST_ANSWER_FACTOR = 2;
-
   /**
    * Returns whether a request is started or sent.
    *
@@ -39,9 +32,10 @@
   }
 
   /**
-   * Returns a decision that admits a request if it ends in time: by its deadline, or because the
-   * usual answer fits in what is left. If the request was read after new connections have ended,
-   * {@value #LONGEST_ANSWER_FACTOR} times the longest recent answer must fit.
+   * Returns a decision that admits a request if it ends in time by its deadline. A request that was
+   * read while new connections were accepted is admitted as well if the usual answer fits in what
+   * is left. A later one isn't: recent answers don't bound how long another one takes, and each of
+   * these few requests can be taken by another process.
    *
    * @param acceptingUntil monotonic time in nanoseconds until which connections are accepted
    * @param endsAt monotonic time in nanoseconds at which open requests are ended
@@ -51,15 +45,8 @@
       if (deadline - endsAt <= 0) {
         return true;
       }
-      if (recent == null) {
-        return false;
-      }
       boolean late = readAt - acceptingUntil > 0;
-      long neededNanos =
-          late
-              ? recent.longest().multipliedBy(LONGEST_ANSWER_FACTOR).toNanos()
-              : recent.usual().toNanos();
-      return neededNanos <= endsAt - now;
+      return !late && recent != null && recent.usual().toNanos() <= endsAt - now;
     };
   }
 
--- a/core/src/test/java/org/oriolewell/core/drain/StopAdmissionReplayTest.java
+++ b/core/src/test/java/org/oriolewell/core/drain/StopAdmissionReplayTest.java
@@ -20,6 +20,11 @@
   private static final double SLOWDOWN_DURING_STOP = 1.5;
   private static final int SEEDS = 20;
 
+  /**
+   * How many times as long as recent answers a late one can take: a long stream after short ones.
+   */
+  private static final double LATE_FACTOR = 14;
+
   /** Share of the refused requests that no other process answers in time. */
   private static final double LOST_AFTER_REFUSAL = 0.15;
 
@@ -31,6 +36,7 @@
   }
 
   private static final Kind[] KINDS = {
+    new Kind("lookup", Duration.ofMillis(40), Duration.ofMillis(400)),
     new Kind("record", Duration.ofMillis(90), Duration.ofSeconds(2)),
     new Kind("summary", Duration.ofMillis(700), Duration.ofSeconds(6)),
     new Kind("stream", Duration.ofMillis(1800), Duration.ofSeconds(15)),
@@ -53,14 +59,24 @@
   }
 
   private static Result replay(Duration stopTime, StopAdmission admission) {
+    return replay(stopTime, 1, admission);
+  }
+
+  /**
+   * Replays stops.
+   *
+   * @param lateFactor how many times as long the requests on open connections take
+   */
+  private static Result replay(Duration stopTime, double lateFactor, StopAdmission admission) {
     Result result = new Result(0, 0, 0, 0, 0);
     for (long seed = 1; seed <= SEEDS; seed++) {
-      result = result.plus(replay(stopTime, new Random(seed), admission));
+      result = result.plus(replay(stopTime, lateFactor, new Random(seed), admission));
     }
     return result;
   }
 
-  private static Result replay(Duration stopTime, Random random, StopAdmission admission) {
+  private static Result replay(
+      Duration stopTime, double lateFactor, Random random, StopAdmission admission) {
     AnswerTimes times = AnswerTimes.create();
     long stopStartedAt = BEFORE_STOP.toNanos();
     long acceptingUntil = stopStartedAt + ACCEPTING.toNanos();
@@ -75,6 +91,7 @@
         times.observed(kind.route(), Duration.ofNanos(takesNanos), now);
       } else {
         takesNanos *= 1 + random.nextDouble() * (SLOWDOWN_DURING_STOP - 1);
+        takesNanos *= late ? lateFactor : 1;
         long deadline = now + kind.deadline().toNanos();
         if (!admission.admits(now, now, deadline, times.recent(kind.route(), now))) {
           result = result.plus(new Result(0, 1, 0, 0, 0));
@@ -106,6 +123,16 @@
     assertThat(replay(stopTime, StopAdmission.running()).lateCutOff()).isPositive();
   }
 
+  /** Guards against requests that are cut off since recent answers were short. */
+  @ParameterizedTest(name = "{0} s")
+  @ValueSource(ints = {3, 8, 30})
+  void noLateRequestIsCutOffIfItTakesLongerThanAllRecentOnes(int seconds) {
+    Duration stopTime = Duration.ofSeconds(seconds);
+
+    assertThat(replay(stopTime, LATE_FACTOR, endingAfter(stopTime)).lateCutOff()).isZero();
+    assertThat(replay(stopTime, LATE_FACTOR, StopAdmission.running()).lateCutOff()).isPositive();
+  }
+
   @ParameterizedTest(name = "{0} s")
   @ValueSource(ints = {3, 8, 30})
   void fewerRequestsAreLostThanIfAllAreRefusedOrAllAreAdmitted(int seconds) {
