--- /dev/null
+++ b/core/src/main/java/org/oriolewell/core/stage/PieceCheck.java
@@ -0,0 +1,69 @@
+package org.oriolewell.core.stage;
+
+import java.util.List;
+import java.util.Optional;
+import org.oriolewell.core.route.StageSpec;
+
+/**
+ * Checks the numbers of pieces that a caller states for the stages of a route, before anything is
+ * created or asked for by them.
+ */
+public final class PieceCheck {
+  /**
+   * Why a request can't be served as stated.
+   *
+   * @param reason one of a few reasons, for logs and metrics
+   * @param detail sentence for the caller, which names the remedy
+   */
+  public record Refusal(String reason, String detail) {}
+
+  private final int maxPieces;
+
+  private PieceCheck(int maxPieces) {
+    this.maxPieces = maxPieces;
+  }
+
+  /**
+   * Returns a check.
+   *
+   * @param maxPieces most pieces of all stages of a request together
+   */
+  public static PieceCheck of(int maxPieces) {
+    return new PieceCheck(maxPieces);
+  }
+
+  /**
+   * Returns why a request can't be served; empty if it can.
+   *
+   * @param stages stages of the route, by index
+   * @param pieces number of pieces of each stage, by index, none negative; empty if not stated
+   */
+  public Optional<Refusal> refusal(List<StageSpec> stages, List<Integer> pieces) {
+    if (pieces.isEmpty()) {
+      return Optional.empty();
+    }
+    if (pieces.size() != stages.size()) {
+      return Optional.of(
+          new Refusal(
+              "piece counts do not fit the route's stages",
+              "the request has numbers of pieces for "
+                  + pieces.size()
+                  + " stages, its route has "
+                  + stages.size()
+                  + " stages; send one number for each stage"));
+    }
+    long sum = pieces.stream().mapToLong(Integer::longValue).sum();
+    if (sum > maxPieces) {
+      return Optional.of(
+          new Refusal(
+              "more pieces than a request may have",
+              "the stages have "
+                  + sum
+                  + " pieces, at most "
+                  + maxPieces
+                  + " are allowed;"
+                  + " split the request"));
+    }
+    return Optional.empty();
+  }
+}
--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.oriolewell.core.route.CallerLimits;
 import org.oriolewell.core.route.RouteTable;
 import org.oriolewell.core.route.Workspace;
+import org.oriolewell.core.stage.PieceCheck;
 import org.oriolewell.gateway.ControlFeed.Peer;
 import org.oriolewell.runtime.log.EventLog;
 import org.oriolewell.runtime.log.LogOutput;
@@ -183,7 +184,8 @@
             settings.value(GatewaySettings.MAX_ANSWER_BYTES),
             metrics,
             log);
-    intake = new RequestIntake(components);
+    intake =
+        new RequestIntake(components, PieceCheck.of(settings.value(GatewaySettings.MAX_PIECES)));
     stopTimeout = settings.value(GatewaySettings.STOP_TIMEOUT);
     OperatorsHandler operatorsHandler =
         new OperatorsHandler(
--- a/gateway/src/main/java/org/oriolewell/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/GatewaySettings.java
@@ -160,6 +160,15 @@
           Duration.ofMinutes(10),
           "Time in which a request's body may arrive at any rate.");
 
+  /** Largest number of stage results that a request may ask for. */
+  public static final Setting<Integer> MAX_PIECES =
+      Setting.integer(
+          "callers.max_pieces",
+          1000,
+          1,
+          100_000,
+          "Most pieces of all stages of a request together.");
+
   /** The settings in the order in which they are listed to operators. */
   public static final SettingsSpec SPEC =
       SettingsSpec.of(
@@ -187,7 +196,8 @@
               MAX_INPUT_BYTES,
               MAX_CONNECTIONS,
               MIN_BODY_RATE,
-              BODY_GRACE));
+              BODY_GRACE,
+              MAX_PIECES));
 
   private GatewaySettings() {}
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestDialect.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestDialect.java
@@ -21,7 +21,8 @@
    * @param affinityHash hash of the part of the prompt that requests share; 0 if there is none
    * @param sharedPromptParts ids of the prompt's parts but the last, which belongs to the request
    * @param promptSize size of the prompt and of its answer
-   * @param pieceCounts number of pieces of each stage, by stage; empty if the request has no stages
+   * @param pieceCounts number of pieces of each stage, by stage, none negative; larger numbers than
+   *     {@code Integer.MAX_VALUE} count as that; empty if the request has no stages
    * @param pieceKey key that is sent with the pieces of stages without inputs; empty if not stated
    * @param lastEventId id of the event after which to resume a stream; null to start a new one
    */
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestIntake.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestIntake.java
@@ -1,5 +1,6 @@
 package org.oriolewell.gateway;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -10,6 +11,7 @@
 import org.oriolewell.core.route.Route;
 import org.oriolewell.core.route.RouteTable;
 import org.oriolewell.core.route.Workspace;
+import org.oriolewell.core.stage.PieceCheck;
 import org.oriolewell.gateway.RequestDialect.Intent;
 
 /** Matches a caller's request to a route, checks its API key, and starts or refuses it. */
@@ -17,15 +19,15 @@
   /** Retry-After while this gateway isn't ready; about the time to reconnect to the store. */
   private static final Duration NOT_READY_RETRY_AFTER = Duration.ofMillis(500);
 
-  private static final byte[] EMPTY_BODY = new byte[0];
-
   private final GatewayComponents components;
+  private final PieceCheck pieceCheck;
   private int openExchanges;
   private final Set<RequestFlow> flows = new LinkedHashSet<>();
   private boolean stopped;
 
-  RequestIntake(GatewayComponents components) {
+  RequestIntake(GatewayComponents components, PieceCheck pieceCheck) {
     this.components = components;
+    this.pieceCheck = pieceCheck;
   }
 
   /** Returns the number of accepted requests that have not ended. */
@@ -98,9 +100,10 @@
         return;
       }
     }
-    if (intent.pieceCounts().size() != route.get().stages().size()
-        && !intent.pieceCounts().isEmpty()) {
-      refuse(exchange, intent, 400, "piece counts do not fit the route's stages", null);
+    Optional<PieceCheck.Refusal> pieceRefusal =
+        pieceCheck.refusal(route.get().stages(), intent.pieceCounts());
+    if (pieceRefusal.isPresent()) {
+      refusePieces(exchange, intent, pieceRefusal.get());
       return;
     }
     RequestFlow flow =
@@ -109,24 +112,45 @@
     flow.start();
   }
 
+  /** Refuses a request for good: it can't be served as it is, now or later. */
+  private void refusePieces(CallerExchange exchange, Intent intent, PieceCheck.Refusal refusal) {
+    refuse(exchange, intent, 400, refusal.reason(), null, refusal.detail());
+  }
+
   private void refuse(
       CallerExchange exchange,
       Intent intent,
       int status,
       String reason,
       @Nullable Duration retryAfter) {
+    refuse(exchange, intent, status, reason, retryAfter, "");
+  }
+
+  /**
+   * Refuses a request.
+   *
+   * @param detail body of the answer; empty for none
+   */
+  private void refuse(
+      CallerExchange exchange,
+      Intent intent,
+      int status,
+      String reason,
+      @Nullable Duration retryAfter,
+      String detail) {
     components
         .log()
         .event(GatewayEvent.REFUSED)
         .with("request", intent.attemptId())
         .with("status", status)
         .with("reason", reason)
+        .with("detail", detail.isEmpty() ? null : detail)
         .with("host", intent.host())
         .with("path", exchange.request().path())
         .with("view_age_ms", components.control().ageMillis())
         .write();
     components.metrics().requestRefused(reason);
     HttpFields headers = components.dialect().gatewayAnswerHeaders(intent.attemptId(), retryAfter);
-    exchange.reply(status, headers, EMPTY_BODY);
+    exchange.reply(status, headers, detail.getBytes(StandardCharsets.UTF_8));
   }
 }
