--- a/core/src/main/java/org/oriolewell/core/stage/PieceCheck.java
+++ b/core/src/main/java/org/oriolewell/core/stage/PieceCheck.java
@@ -37,8 +37,9 @@
    *
    * @param stages stages of the route, by index
    * @param pieces number of pieces of each stage, by index, none negative; empty if not stated
+   * @param pieceKey key of the pieces that read no other stage; empty if not stated
    */
-  public Optional<Refusal> refusal(List<StageSpec> stages, List<Integer> pieces) {
+  public Optional<Refusal> refusal(List<StageSpec> stages, List<Integer> pieces, String pieceKey) {
     if (pieces.isEmpty()) {
       return Optional.empty();
     }
@@ -64,6 +65,35 @@
                   + " are allowed;"
                   + " split the request"));
     }
-    return Optional.empty();
+    return stages.stream()
+        .filter(stage -> pieces.get(stage.index()) > 0)
+        .flatMap(stage -> sourceRefusal(stage, pieces, pieceKey).stream())
+        .findFirst();
+  }
+
+  /** Returns a refusal if the pieces of a stage could be asked for with neither key nor inputs. */
+  private static Optional<Refusal> sourceRefusal(
+      StageSpec stage, List<Integer> pieces, String pieceKey) {
+    if (stage.inputStages().isEmpty()) {
+      return pieceKey.isEmpty()
+          ? Optional.of(
+              new Refusal(
+                  "pieces without a piece key",
+                  "stage "
+                      + stage.index()
+                      + " reads the piece key, which the request lacks; state"
+                      + " one"))
+          : Optional.empty();
+    }
+    return stage.inputStages().stream().allMatch(input -> pieces.get(input) == 0)
+        ? Optional.of(
+            new Refusal(
+                "a stage that reads only omitted ones",
+                "stage "
+                    + stage.index()
+                    + " reads only the stages "
+                    + stage.inputStages()
+                    + ", which the request omits; omit it as well, or state pieces for them"))
+        : Optional.empty();
   }
 }
--- a/gateway/src/main/java/org/oriolewell/gateway/RequestIntake.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/RequestIntake.java
@@ -101,7 +101,7 @@
       }
     }
     Optional<PieceCheck.Refusal> pieceRefusal =
-        pieceCheck.refusal(route.get().stages(), intent.pieceCounts());
+        pieceCheck.refusal(route.get().stages(), intent.pieceCounts(), intent.pieceKey());
     if (pieceRefusal.isPresent()) {
       refusePieces(exchange, intent, pieceRefusal.get());
       return;
--- a/gateway/src/main/java/org/oriolewell/gateway/StageCoordinator.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StageCoordinator.java
@@ -418,12 +418,16 @@
   public void onRequest(String origin, WireConnection connection, Message message) {
     originConnections.put(origin, connection);
     if (message instanceof Message.StageSubmit submit) {
+      if (submit.key().isEmpty() && submit.inputs().isEmpty()) {
+        refuseWork(connection, submit, "the work has neither a key nor inputs");
+        return;
+      }
       StageDispatcher dispatcher =
           findOrCreateDispatcher(new DispatcherKey(submit.service(), submit.region()));
       if (dispatcher != null) {
         dispatcher.submit(toStageWork(origin, submit));
       } else {
-        refuseUnknownService(connection, submit);
+        refuseWork(connection, submit, "the configuration here has no such service");
       }
     } else if (message instanceof Message.StageAnnounce announce) {
       StageDispatcher dispatcher =
@@ -447,8 +451,8 @@
     }
   }
 
-  /** Fails work of a service that isn't configured here, so that its request doesn't wait. */
-  private void refuseUnknownService(WireConnection connection, Message.StageSubmit submit) {
+  /** Fails work that can't be done here, so that its request doesn't wait. */
+  private void refuseWork(WireConnection connection, Message.StageSubmit submit, String reason) {
     int failedStatus = PieceOutcome.Status.FAILED.ordinal();
     connection.send(
         new Message.StageResults(
@@ -460,7 +464,7 @@
     log.event(GatewayEvent.STAGE_REFUSED)
         .with("request", submit.requestId())
         .with("service", submit.service())
-        .with("reason", "the configuration here has no such service")
+        .with("reason", reason)
         .write();
   }
 
