Take an answer without a length for whole only when its request is written

The upstream had answered a long upload before it had read it, ended its output and reset the connection while the upload was still being written. Cause: the end of the input was taken for the end of such an answer in any case. A reset is reported once; if a write gets the error, a read gives a plain end of the input. An upstream that ends its output and goes on reading is served as before.

--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
@@ -59,6 +59,9 @@
    */
   private static final Duration IDLE_TIMEOUT_MARGIN = Duration.ofMillis(700);
 
+  /** Interval at which the end of a request is checked whose answer has ended before. */
+  private static final Duration WRITE_CHECK_INTERVAL = Duration.ofMillis(5);
+
   /** The pool that the connection belongs to. */
   interface Owner {
     /** Called when an answer is complete and the connection can be reused. */
@@ -251,11 +254,25 @@
       parser.atEOF();
       parser.parseNext(BufferUtil.EMPTY_BUFFER);
     }
-    if (answerComplete) {
-      finishAnswer();
-    } else {
+    if (!answerComplete) {
       failRequest(
           new EOFException("the upstream closed the connection before its answer was whole"));
+    } else if (bodyEndsAtClose) {
+      finishWhenRequestIsWritten();
+    } else {
+      finishAnswer();
+    }
+  }
+
+  /**
+   * Takes an answer that ends with its connection for whole when its request is written. The end of
+   * the input looks the same if the connection was reset and a write has received the error.
+   */
+  private void finishWhenRequestIsWritten() {
+    if (output.idle()) {
+      finishAnswer();
+    } else if (listener != null) {
+      loop.after(WRITE_CHECK_INTERVAL, this::finishWhenRequestIsWritten);
     }
   }
 
