Fail answers whose status is none of an answer at once

Cause: the parser accepts each number from 100 to 999; 101 was skipped like an interim answer, the others passed on. Change: 101, which no request asks for, and numbers from 600 on fail the attempt at once, for callers, stages and the store. Evidence: AnswerStatusTest failed before (101: 504 after 2 s; 600 and 999 in the run that took each number alone).

--- a/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/UpstreamConnection.java
@@ -15,6 +15,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
@@ -43,6 +44,9 @@
    */
   private static final long MAX_OVERHEAD_BYTES = 128 << 10;
 
+  /** Highest status of an HTTP answer; the parser refuses those below 100. */
+  private static final int MAX_STATUS = 599;
+
   /** Most recent attempt identifiers that are kept to recognize one that is sent again. */
   private static final int MAX_KEPT_ATTEMPT_IDS = 64;
 
@@ -357,7 +361,12 @@
 
     @Override
     public boolean headerComplete() {
-      if (status < 200) {
+      if (status == HttpStatus.SWITCHING_PROTOCOLS_101 || status > MAX_STATUS) {
+        // No request asks for another protocol.
+        failRequest(new IOException("the status " + status + " is none of an answer"));
+        return true;
+      }
+      if (status < HttpStatus.OK_200) {
         skippingAnswer = true;
         return false;
       }
