Judge requests that waited while accepting ended by the estimate again

Change: requests count as late 50 ms after accepting has ended in fact, and 500 ms after its planned end at the latest (2.8 s after SIGTERM), the time in which a next request may be on its way.

--- a/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/Gateway.java
@@ -350,7 +350,7 @@
     loop.execute(
         () -> {
           stopGate.stop(
-              stopStartedAt + STOP_ACCEPTING_DELAY.toNanos(),
+              stopStartedAt + STOP_ACCEPTING_DELAY.plus(NEXT_REQUEST_TIMEOUT).toNanos(),
               stopStartedAt + stopTimeout.minus(STOP_MARGIN).toNanos());
           mesh.drain();
           control.unregister();
@@ -376,6 +376,7 @@
     }
     closeIdleCallers();
     // Not timed from the start of the stop: accepted connections are opened by later tasks.
+    stopGate.stopAccepting(loop.now() + STOP_CHECK_INTERVAL.toNanos());
     loop.after(STOP_CHECK_INTERVAL, () -> awaitIdle(stopStartedAt));
   }
 
--- a/gateway/src/main/java/org/oriolewell/gateway/StopGate.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/StopGate.java
@@ -15,6 +15,8 @@
   private final AnswerTimes requestTimes = AnswerTimes.create();
   private final AnswerTimes attemptTimes = AnswerTimes.create();
   private StopAdmission admission = StopAdmission.running();
+  private long acceptingUntil;
+  private long endsAt;
 
   StopGate(EventLoop loop) {
     this.loop = loop;
@@ -23,13 +25,27 @@
   /**
    * Begins a stop.
    *
-   * @param acceptingUntil monotonic time in nanoseconds until which connections are accepted
-   * @param endsAt monotonic time in nanoseconds at which open requests are ended
+   * @param latestEndOfAccepting monotonic time in nanoseconds from which requests count as late,
+   *     unless {@link #stopAccepting} says so earlier
+   * @param newEndsAt monotonic time in nanoseconds at which open requests are ended
    */
-  void stop(long acceptingUntil, long endsAt) {
+  void stop(long latestEndOfAccepting, long newEndsAt) {
+    acceptingUntil = latestEndOfAccepting;
+    endsAt = newEndsAt;
     admission = StopAdmission.endingAt(acceptingUntil, endsAt);
   }
 
+  /**
+   * Ends the time in which requests on new connections are expected.
+   *
+   * @param readUntil monotonic time in nanoseconds until which requests that have waited are read
+   */
+  void stopAccepting(long readUntil) {
+    if (readUntil - acceptingUntil < 0) {
+      admission = StopAdmission.endingAt(readUntil, endsAt);
+    }
+  }
+
   /**
    * Returns whether a request can be answered before the stop ends.
    *
