--- a/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/ControlPlane.java
@@ -43,6 +43,7 @@
   /** Further delay of such a write, different for each gateway, so that one is enough. */
   private static final int MAX_DELAY_SPREAD_MILLIS = 2000;
 
+  /** Time that stands for no limit on the next confirmation. */
   private static final Duration UNBOUNDED_TIME = Duration.ofDays(1);
 
   private final EventLoop loop;
--- a/gateway/src/main/java/org/oriolewell/gateway/FeedReader.java
+++ b/gateway/src/main/java/org/oriolewell/gateway/FeedReader.java
@@ -23,9 +23,6 @@
    */
   private static final Duration POLL_WAIT = Duration.ofMillis(2000);
 
-  /** Time for a call that gets no answer within 1 s of its wait, and for a short call after it. */
-  private static final Duration FAILED_POLL_RESERVE = Duration.ofMillis(1300);
-
   /** The same time for a call after a failed one, which has to confirm the copy soon. */
   static final Duration POLL_WAIT_AFTER_FAILURE = Duration.ofMillis(100);
 
@@ -48,6 +45,9 @@
    */
   private static final int MAX_UNUSABLE_POLLS = 3;
 
+  /** Time for a call that gets no answer within 1 s of its wait, and for a short call after it. */
+  private static final Duration FAILED_POLL_RESERVE = Duration.ofMillis(1300);
+
   private static final WatchSchedule POLL_SCHEDULE =
       new WatchSchedule(POLL_WAIT, POLL_WAIT_AFTER_FAILURE, FAILED_POLL_RESERVE);
 
