--- a/review/standins-3/SpotStream.java
+++ b/review/standins-3/SpotStream.java
@@ -11,6 +11,7 @@
  */
 final class SpotStream {
   private static final int ENGINES = 4;
+  private static final int EVENTS = 70;
 
   /** Streams without a length are one in 20, the largest dose of the site. */
   private static final int STREAMS_PER_UNFRAMED = 20;
@@ -44,7 +45,8 @@
                 System.getProperty("java.class.path"),
                 "UnframedEngine",
                 Integer.toString(port),
-                Integer.toString(STREAMS_PER_UNFRAMED))
+                Integer.toString(STREAMS_PER_UNFRAMED),
+                Integer.toString(EVENTS))
             .redirectError(ProcessBuilder.Redirect.DISCARD)
             .start();
     trial.processes.add(process);
@@ -117,7 +119,7 @@
       if (!answer.whole) {
         broken.incrementAndGet();
         trial.record("caller " + id + ": the stream broke off after " + events + " events");
-      } else if (events < UnframedEngine.EVENTS) {
+      } else if (events < EVENTS) {
         cut.incrementAndGet();
         trial.record(
             "caller "
@@ -125,7 +127,7 @@
                 + ": the stream ended as complete after "
                 + events
                 + " of "
-                + UnframedEngine.EVENTS
+                + EVENTS
                 + " events");
       } else {
         complete.incrementAndGet();
--- a/review/standins-3/UnframedEngine.java
+++ b/review/standins-3/UnframedEngine.java
@@ -5,15 +5,15 @@
  * have no length and end with their connection. Prints a line at the start of such a stream.
  */
 final class UnframedEngine {
-  static final int EVENTS = 70;
-  static final int EVENT_MILLIS = 50;
+    static final int EVENT_MILLIS = 50;
   private static final int FIRST_MILLIS = 110;
 
   private UnframedEngine() {}
 
-  /** Arguments: port, streams per unframed one. */
+  /** Arguments: port, streams per unframed one, events of a stream. */
   public static void main(String[] args) throws Exception {
     int streamsPerUnframed = Integer.parseInt(args[1]);
+    int events = Integer.parseInt(args[2]);
     int[] streams = new int[1];
     new Server(
         Integer.parseInt(args[0]),
@@ -37,7 +37,7 @@
           if (unframed) {
             System.out.println("unframed " + id);
           }
-          for (int i = 1; i <= EVENTS; i++) {
+          for (int i = 1; i <= events; i++) {
             String event = "id: " + i + "\ndata: " + id + "\n\n";
             String bytes =
                 unframed ? event : Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
