--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and the checks of the cases 11 to 15 into target/review-3.
+# Builds the stand-ins and the checks of the cases of this review into target/review-3.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
--- a/review/standins-3/Server.java
+++ b/review/standins-3/Server.java
@@ -8,10 +8,9 @@
 
 /** A listener with one thread for each connection, on a free port of the loopback address. */
 final class Server {
-  /** One accepted connection; a stand-in may keep what it needs in {@link #note}. */
+  /** One accepted connection. */
   static final class Connection {
     final Socket socket;
-    Object note;
 
     Connection(Socket socket) {
       this.socket = socket;
--- a/review/standins-3/Trial.java
+++ b/review/standins-3/Trial.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import java.util.regex.Matcher;
@@ -30,7 +31,7 @@
   private final Path temporary;
   private final PrintWriter record;
   private final long startedAt = System.nanoTime();
-  final List<Process> processes = new ArrayList<>();
+  final List<Process> processes = Collections.synchronizedList(new ArrayList<>());
 
   Trial(String folderName) throws IOException {
     folder = Path.of(folderName);
@@ -46,6 +47,7 @@
     int callers;
     int operators;
     Path settings;
+    Path log;
     Process process;
   }
 
@@ -54,7 +56,7 @@
   }
 
   private void clean() {
-    processes.forEach(Process::destroyForcibly);
+    List.copyOf(processes).forEach(Process::destroyForcibly);
     try (var files = Files.walk(temporary)) {
       files
           .sorted(java.util.Comparator.reverseOrder())
@@ -114,8 +116,13 @@
     return gateway;
   }
 
-  /** Starts a gateway with the command of the deploy file. */
-  void start(Gateway gateway) throws IOException {
+  /**
+   * Starts a gateway with the command of the deploy file, on a machine of a given size.
+   *
+   * @param memory memory that the machine reports, in megabytes
+   * @param descriptors most descriptors of the process
+   */
+  void start(Gateway gateway, int memory, int descriptors) throws IOException {
     String deploy = Files.readString(Path.of("deploy/system.toml"));
     Matcher run = Pattern.compile("(?m)^run = \"([^\"]+)\"").matcher(deploy);
     if (!run.find()) {
@@ -123,19 +130,17 @@
     }
     String command =
         run.group(1).replace("/etc/oriolewell/boot.toml", gateway.settings.toString());
-    ProcessBuilder builder = new ProcessBuilder(command.split(" "));
-    Path log = temporary.resolve("log-" + gateway.name + ".txt");
+    ProcessBuilder builder =
+        new ProcessBuilder("bash", "-c", "ulimit -n " + descriptors + " && exec " + command);
+    builder.environment().put("JAVA_TOOL_OPTIONS", "-XX:MaxRAM=" + memory + "m");
+    gateway.log = temporary.resolve("log-" + gateway.name + ".txt");
     builder.redirectErrorStream(true);
-    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(gateway.log.toFile()));
     gateway.process = builder.start();
     processes.add(gateway.process);
     record("start of " + gateway.name);
   }
 
-  void signal(Process process, String signal) throws Exception {
-    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-  }
-
   /** Waits until a gateway says that it is ready, or ends the run. */
   void awaitReady(Gateway gateway) throws Exception {
     for (int i = 0; i < 300; i++) {
