--- a/review/standins-3/Trial.java
+++ b/review/standins-3/Trial.java
@@ -19,6 +19,8 @@
   static final int BROKEN = 1;
   static final int NOT_RUN = 2;
 
+  private static final int MAX_MILLIS = 116_000;
+
   /** Whether the disruption takes place. */
   static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
@@ -38,6 +40,7 @@
     temporary = Files.createTempDirectory("review-3-");
     record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
     Runtime.getRuntime().addShutdownHook(new Thread(this::clean));
+    Server.start("watchdog", this::endInTime);
     record("disruption: " + (TROUBLE ? "yes" : "no"));
   }
 
@@ -55,6 +58,16 @@
     record.printf("%8.3f %s%n", (System.nanoTime() - startedAt) / 1e9, text);
   }
 
+  /** Ends a run that takes too long, so that none takes more than 120 s. */
+  private void endInTime() {
+    try {
+      Thread.sleep(MAX_MILLIS);
+      end(NOT_RUN, "the run was not over in time");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void clean() {
     List.copyOf(processes).forEach(Process::destroyForcibly);
     try (var files = Files.walk(temporary)) {
